--- /dev/null
+++ b/cranberryrelay/agreement/__init__.py
@@ -0,0 +1,258 @@
+"""Agreement between instances, resting on the platform's object API."""
+
+from cranberryrelay.agreement._account import FIRST_SEAL as FIRST_SEAL
+from cranberryrelay.agreement._account import FLUSH_SECONDS as FLUSH_SECONDS
+from cranberryrelay.agreement._account import (
+    RANGES_PER_REPORT as RANGES_PER_REPORT,
+)
+from cranberryrelay.agreement._account import (
+    RANGES_PER_SEGMENT as RANGES_PER_SEGMENT,
+)
+from cranberryrelay.agreement._account import (
+    RANGES_WAITING_LIMIT as RANGES_WAITING_LIMIT,
+)
+from cranberryrelay.agreement._account import AccountPart as AccountPart
+from cranberryrelay.agreement._account import AccountRange as AccountRange
+from cranberryrelay.agreement._account import AccountSegment as AccountSegment
+from cranberryrelay.agreement._account import RangeBuilder as RangeBuilder
+from cranberryrelay.agreement._account import RangesSaved as RangesSaved
+from cranberryrelay.agreement._account import RecordRanges as RecordRanges
+from cranberryrelay.agreement._account import Report as Report
+from cranberryrelay.agreement._account import RequestId as RequestId
+from cranberryrelay.agreement._account import attend_account as attend_account
+from cranberryrelay.agreement._account import decode_segment as decode_segment
+from cranberryrelay.agreement._account import (
+    format_request_id as format_request_id,
+)
+from cranberryrelay.agreement._account import (
+    parse_request_id as parse_request_id,
+)
+from cranberryrelay.agreement._account import seal_segment as seal_segment
+from cranberryrelay.agreement._account import segment_key as segment_key
+from cranberryrelay.agreement._account import step_search as step_search
+from cranberryrelay.agreement._account import (
+    take_account_answer as take_account_answer,
+)
+from cranberryrelay.agreement._archive import BASE_INTERVAL as BASE_INTERVAL
+from cranberryrelay.agreement._archive import BASE_KEY as BASE_KEY
+from cranberryrelay.agreement._archive import CHUNK_BYTES as CHUNK_BYTES
+from cranberryrelay.agreement._archive import BasePointer as BasePointer
+from cranberryrelay.agreement._archive import LoadedNotes as LoadedNotes
+from cranberryrelay.agreement._archive import chunk_key as chunk_key
+from cranberryrelay.agreement._archive import history_key as history_key
+from cranberryrelay.agreement._archive import keep_history as keep_history
+from cranberryrelay.agreement._archive import load_notes as load_notes
+from cranberryrelay.agreement._archive import read_accepted as read_accepted
+from cranberryrelay.agreement._archive import read_revision as read_revision
+from cranberryrelay.agreement._catalogue import MESSAGE_TYPES as MESSAGE_TYPES
+from cranberryrelay.agreement._cell import (
+    CELL_READ_SECONDS as CELL_READ_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    ENGINES_PER_DRAIN as ENGINES_PER_DRAIN,
+)
+from cranberryrelay.agreement._cell import (
+    LEASE_MARGIN_SECONDS as LEASE_MARGIN_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    LEASE_RENEW_SECONDS as LEASE_RENEW_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    LEASE_TTL_SECONDS as LEASE_TTL_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    ORDER_DELIVERY_SECONDS as ORDER_DELIVERY_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    ORDER_RESEND_SECONDS as ORDER_RESEND_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    SUBSCRIBER_SILENCE_SECONDS as SUBSCRIBER_SILENCE_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    VIEW_PUSH_SECONDS as VIEW_PUSH_SECONDS,
+)
+from cranberryrelay.agreement._cell import CellPart as CellPart
+from cranberryrelay.agreement._cell import CellRecord as CellRecord
+from cranberryrelay.agreement._cell import StepContext as StepContext
+from cranberryrelay.agreement._cell import Subscriber as Subscriber
+from cranberryrelay.agreement._cell import UpstreamRecord as UpstreamRecord
+from cranberryrelay.agreement._cell import UpstreamSetting as UpstreamSetting
+from cranberryrelay.agreement._cell import UpstreamTarget as UpstreamTarget
+from cranberryrelay.agreement._cell import advance_cell as advance_cell
+from cranberryrelay.agreement._cell import attend_cell as attend_cell
+from cranberryrelay.agreement._cell import cell_key as cell_key
+from cranberryrelay.agreement._cell import is_drained as is_drained
+from cranberryrelay.agreement._cell import may_start_drain as may_start_drain
+from cranberryrelay.agreement._cell import take_cell_answer as take_cell_answer
+from cranberryrelay.agreement._cell import take_over_cell as take_over_cell
+from cranberryrelay.agreement._cell_messages import Phase as Phase
+from cranberryrelay.agreement._cell_messages import PlanAck as PlanAck
+from cranberryrelay.agreement._cell_messages import PlanRedirect as PlanRedirect
+from cranberryrelay.agreement._cell_messages import (
+    PlanSubscribe as PlanSubscribe,
+)
+from cranberryrelay.agreement._cell_messages import PlanView as PlanView
+from cranberryrelay.agreement._cell_messages import UpstreamLoad as UpstreamLoad
+from cranberryrelay.agreement._cell_messages import UpstreamView as UpstreamView
+from cranberryrelay.agreement._effects import Answer as Answer
+from cranberryrelay.agreement._effects import AskLoad as AskLoad
+from cranberryrelay.agreement._effects import Effect as Effect
+from cranberryrelay.agreement._effects import EngineOrder as EngineOrder
+from cranberryrelay.agreement._effects import GiveOrder as GiveOrder
+from cranberryrelay.agreement._effects import InstancesListed as InstancesListed
+from cranberryrelay.agreement._effects import ListInstances as ListInstances
+from cranberryrelay.agreement._effects import LoadAnswered as LoadAnswered
+from cranberryrelay.agreement._effects import LoadNotes as LoadNotes
+from cranberryrelay.agreement._effects import NotesLoaded as NotesLoaded
+from cranberryrelay.agreement._effects import OrderAnswered as OrderAnswered
+from cranberryrelay.agreement._effects import OrderOutcome as OrderOutcome
+from cranberryrelay.agreement._effects import ReadDone as ReadDone
+from cranberryrelay.agreement._effects import SendPeer as SendPeer
+from cranberryrelay.agreement._effects import StoreRead as StoreRead
+from cranberryrelay.agreement._effects import StoreWrite as StoreWrite
+from cranberryrelay.agreement._effects import WriteDone as WriteDone
+from cranberryrelay.agreement._evidence import (
+    EVIDENCE_BOUND_SECONDS as EVIDENCE_BOUND_SECONDS,
+)
+from cranberryrelay.agreement._evidence import Evidence as Evidence
+from cranberryrelay.agreement._evidence import EvidenceBook as EvidenceBook
+from cranberryrelay.agreement._evidence import VoiceHeard as VoiceHeard
+from cranberryrelay.agreement._evidence import (
+    check_admission as check_admission,
+)
+from cranberryrelay.agreement._evidence import combine_voices as combine_voices
+from cranberryrelay.agreement._evidence import find_accepted as find_accepted
+from cranberryrelay.agreement._evidence import majority_of as majority_of
+from cranberryrelay.agreement._follower import (
+    PARENT_SILENCE_SECONDS as PARENT_SILENCE_SECONDS,
+)
+from cranberryrelay.agreement._follower import (
+    SUBSCRIBE_SECONDS as SUBSCRIBE_SECONDS,
+)
+from cranberryrelay.agreement._follower import TAIL_LENGTH as TAIL_LENGTH
+from cranberryrelay.agreement._follower import Follower as Follower
+from cranberryrelay.agreement._follower import digest_members as digest_members
+from cranberryrelay.agreement._follower import follow as follow
+from cranberryrelay.agreement._ledger import BATCH_LIMIT as BATCH_LIMIT
+from cranberryrelay.agreement._ledger import NOT_RUN_OUTCOME as NOT_RUN_OUTCOME
+from cranberryrelay.agreement._ledger import (
+    OUTCOME_BYTES_LIMIT as OUTCOME_BYTES_LIMIT,
+)
+from cranberryrelay.agreement._ledger import PARTITION_COUNT as PARTITION_COUNT
+from cranberryrelay.agreement._ledger import Booking as Booking
+from cranberryrelay.agreement._ledger import LedgerBatch as LedgerBatch
+from cranberryrelay.agreement._ledger import LedgerEntry as LedgerEntry
+from cranberryrelay.agreement._ledger import LedgerPart as LedgerPart
+from cranberryrelay.agreement._ledger import Outcome as Outcome
+from cranberryrelay.agreement._ledger import Reserve as Reserve
+from cranberryrelay.agreement._ledger import Reserved as Reserved
+from cranberryrelay.agreement._ledger import Settle as Settle
+from cranberryrelay.agreement._ledger import Settled as Settled
+from cranberryrelay.agreement._ledger import Verdict as Verdict
+from cranberryrelay.agreement._ledger import Waiting as Waiting
+from cranberryrelay.agreement._ledger import apply_entry as apply_entry
+from cranberryrelay.agreement._ledger import attend_ledger as attend_ledger
+from cranberryrelay.agreement._ledger import is_open_booking as is_open_booking
+from cranberryrelay.agreement._ledger import judge as judge
+from cranberryrelay.agreement._ledger import ledger_key as ledger_key
+from cranberryrelay.agreement._ledger import partition_of as partition_of
+from cranberryrelay.agreement._ledger import (
+    take_ledger_answer as take_ledger_answer,
+)
+from cranberryrelay.agreement._membership import (
+    CONTACTS_PER_DOMAIN as CONTACTS_PER_DOMAIN,
+)
+from cranberryrelay.agreement._membership import TREE_ARITY as TREE_ARITY
+from cranberryrelay.agreement._membership import (
+    WATCHERS_PER_DOMAIN as WATCHERS_PER_DOMAIN,
+)
+from cranberryrelay.agreement._membership import Members as Members
+from cranberryrelay.agreement._membership import find_watchers as find_watchers
+from cranberryrelay.agreement._membership import list_parents as list_parents
+from cranberryrelay.agreement._membership import order_domain as order_domain
+from cranberryrelay.agreement._membership import rank_by_hash as rank_by_hash
+from cranberryrelay.agreement._membership import scope_members as scope_members
+from cranberryrelay.agreement._plan_relay import (
+    CANDIDATES_PER_CELL as CANDIDATES_PER_CELL,
+)
+from cranberryrelay.agreement._plan_relay import ENTRY_SUFFIX as ENTRY_SUFFIX
+from cranberryrelay.agreement._plan_relay import (
+    HOLDER_SILENCE_SECONDS as HOLDER_SILENCE_SECONDS,
+)
+from cranberryrelay.agreement._plan_relay import (
+    SUBSCRIBE_PLAN_SECONDS as SUBSCRIBE_PLAN_SECONDS,
+)
+from cranberryrelay.agreement._plan_relay import Followed as Followed
+from cranberryrelay.agreement._plan_relay import PlanRelay as PlanRelay
+from cranberryrelay.agreement._plan_relay import entry_of as entry_of
+from cranberryrelay.agreement._plan_relay import (
+    find_candidates as find_candidates,
+)
+from cranberryrelay.agreement._plan_relay import instance_of as instance_of
+from cranberryrelay.agreement._plan_relay import is_newer_view as is_newer_view
+from cranberryrelay.agreement._plan_relay import relay_plan as relay_plan
+from cranberryrelay.agreement._publisher import (
+    ACCEPT_POLL_SECONDS as ACCEPT_POLL_SECONDS,
+)
+from cranberryrelay.agreement._publisher import (
+    HISTORY_SEARCH_LIMIT as HISTORY_SEARCH_LIMIT,
+)
+from cranberryrelay.agreement._publisher import (
+    SETTLE_ATTEMPTS as SETTLE_ATTEMPTS,
+)
+from cranberryrelay.agreement._publisher import SETTLE_SECONDS as SETTLE_SECONDS
+from cranberryrelay.agreement._publisher import Published as Published
+from cranberryrelay.agreement._publisher import find_operation as find_operation
+from cranberryrelay.agreement._publisher import publish as publish
+from cranberryrelay.agreement._publisher import (
+    record_revision as record_revision,
+)
+from cranberryrelay.agreement._publisher import wait_accepted as wait_accepted
+from cranberryrelay.agreement._spread import (
+    ASK_VOICES_SECONDS as ASK_VOICES_SECONDS,
+)
+from cranberryrelay.agreement._spread import (
+    CHILD_SILENCE_SECONDS as CHILD_SILENCE_SECONDS,
+)
+from cranberryrelay.agreement._spread import HEAD_KEY as HEAD_KEY
+from cranberryrelay.agreement._spread import (
+    HEAD_READ_SECONDS as HEAD_READ_SECONDS,
+)
+from cranberryrelay.agreement._spread import (
+    LIST_READ_SECONDS as LIST_READ_SECONDS,
+)
+from cranberryrelay.agreement._spread import (
+    RECORDS_PER_PUSH as RECORDS_PER_PUSH,
+)
+from cranberryrelay.agreement._spread import (
+    STORE_SILENCE_SECONDS as STORE_SILENCE_SECONDS,
+)
+from cranberryrelay.agreement._spread import Child as Child
+from cranberryrelay.agreement._spread import SpreadPart as SpreadPart
+from cranberryrelay.agreement._spread import (
+    find_partition_owner as find_partition_owner,
+)
+from cranberryrelay.agreement._spread import spread as spread
+from cranberryrelay.agreement._spread import take_answer as take_answer
+from cranberryrelay.agreement._spread_messages import AskVoice as AskVoice
+from cranberryrelay.agreement._spread_messages import ChangesPush as ChangesPush
+from cranberryrelay.agreement._spread_messages import (
+    EvidencePush as EvidencePush,
+)
+from cranberryrelay.agreement._spread_messages import MembersPush as MembersPush
+from cranberryrelay.agreement._spread_messages import (
+    SnapshotPush as SnapshotPush,
+)
+from cranberryrelay.agreement._spread_messages import Subscribe as Subscribe
+from cranberryrelay.agreement._spread_messages import VoiceWord as VoiceWord
+from cranberryrelay.agreement._voice import LIST_LAG_SECONDS as LIST_LAG_SECONDS
+from cranberryrelay.agreement._voice import (
+    VOICE_READ_SECONDS as VOICE_READ_SECONDS,
+)
+from cranberryrelay.agreement._voice import AbsenceClock as AbsenceClock
+from cranberryrelay.agreement._voice import Identity as Identity
+from cranberryrelay.agreement._voice import VoicePart as VoicePart
+from cranberryrelay.agreement._voice import VoiceRecord as VoiceRecord
+from cranberryrelay.agreement._voice import decode_voice as decode_voice
+from cranberryrelay.agreement._voice import voice_key as voice_key
--- /dev/null
+++ b/cranberryrelay/agreement/_cell.py
@@ -0,0 +1,625 @@
+"""A cell: its lease, its plan and its orders, in one object.
+
+Everything is written by one conditional update under the lease's fencing
+token, so a holder that lost authority can record nothing, and no order
+leaves before its record is written.  An upstream that ignores tokens gets
+an order that differs from the last one only once every former holder has
+released the lease or has stopped.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from functools import singledispatch
+from typing import Any, Final, NamedTuple
+
+import msgspec
+
+from cranberryrelay.agreement._cell_messages import (
+    Phase,
+    PlanAck,
+    PlanRedirect,
+    PlanSubscribe,
+    PlanView,
+    UpstreamLoad,
+    UpstreamView,
+)
+from cranberryrelay.agreement._effects import (
+    Answer,
+    Effect,
+    EngineOrder,
+    GiveOrder,
+    OrderAnswered,
+    OrderOutcome,
+    ReadDone,
+    SendPeer,
+    StoreRead,
+    StoreWrite,
+    WriteDone,
+)
+from cranberryrelay.agreement._plan_relay import instance_of
+from cranberryrelay.agreement._voice import (
+    LIST_LAG_SECONDS,
+    AbsenceClock,
+    Identity,
+)
+from cranberryrelay.codes import ResultCode
+
+LEASE_TTL_SECONDS: Final = 5.0
+LEASE_RENEW_SECONDS: Final = 1.0
+LEASE_MARGIN_SECONDS: Final = 0.5
+CELL_READ_SECONDS: Final = 1.0
+ORDER_RESEND_SECONDS: Final = 0.5
+ORDER_DELIVERY_SECONDS: Final = 10.0
+ENGINES_PER_DRAIN: Final = 4
+VIEW_PUSH_SECONDS: Final = 0.5
+SUBSCRIBER_SILENCE_SECONDS: Final = 5.0
+_NEVER: Final = float('-inf')
+
+
+class UpstreamSetting(NamedTuple):
+    """An upstream as the settings name it."""
+
+    # Name of the upstream.
+    name: str
+
+    # 'engine' or 'service'.
+    sort: str
+
+    # Cell that it belongs to; for services the service's name.
+    cell: str
+
+    # 'IP:port'.
+    address: str
+
+    # Failure domain that it is in.
+    domain: str
+
+    # True if it refuses orders with an old fencing token.
+    checks_fencing: bool
+
+
+class UpstreamTarget(NamedTuple):
+    """What an engine should be under the note in force."""
+
+    # Prefill, decode or mixed.
+    role: str
+
+    # Versions of the models to load, by model.
+    models: Mapping[str, str]
+
+
+class UpstreamRecord(NamedTuple):
+    """An upstream in the cell's object."""
+
+    # What it is doing for the cell.
+    phase: Phase
+
+    # Role that it has.
+    role: str
+
+    # Versions of the models it has, by model.
+    models: Mapping[str, str]
+
+    # Order that is planned or given; None when it serves.
+    order: EngineOrder | None = None
+
+
+class CellRecord(NamedTuple):
+    """The value of a cell's object."""
+
+    # Instance that holds the lease; empty when released.
+    holder: str
+
+    # Incarnation of the holder.
+    incarnation: str
+
+    # Fencing token; rises with each change of holder.
+    token: int
+
+    # Version of the plan; rises with each change of it.
+    version: int
+
+    # Counts renewals, so that observers see the object change.
+    renewals: int
+
+    # Former holders that are not known to have stopped.
+    former: tuple[str, ...]
+
+    # The upstreams of the cell, by name.
+    upstreams: Mapping[str, UpstreamRecord]
+
+
+class Subscriber(NamedTuple):
+    """A steward that is fed with the plan."""
+
+    # Its latest nonce.
+    nonce: int
+
+    # When the nonce came; own clock.
+    received_at: float
+
+
+def cell_key(cell: str) -> str:
+    """Return the key of a cell's object."""
+    return f'cells/{cell}'
+
+
+class CellPart:
+    """Holds or observes one cell; one task owns it."""
+
+    def __init__(
+        self,
+        cell: str,
+        me: Identity,
+        settings: Iterable[UpstreamSetting],
+        absence: AbsenceClock,
+    ) -> None:
+        self.cell = cell
+        self.me = me
+        self.key = cell_key(cell)
+        self.settings = {one.name: one for one in settings}
+        self.absence = absence
+        self.record: CellRecord | None = None
+        self.version = 0
+        self.seen_at = _NEVER
+        self.read_at = _NEVER
+        self.holding = False
+        self.lease_sent_at = _NEVER
+        self.busy = False
+        self.leaving = False
+        self.sequence = 0
+        self.pushed_at = _NEVER
+        self.ordered_at: dict[str, float] = {}
+        self.done: set[str] = set()
+        self.unanswered_at: dict[str, float] = {}
+        self.orders_out = 0
+        self.drain_since: dict[str, tuple[int, float]] = {}
+        self.acks: dict[str, PlanAck] = {}
+        self.subscribers: dict[str, Subscriber] = {}
+        self.quiet: set[str] = set()
+        self.loads: dict[str, UpstreamLoad] = {}
+        self.role_changes = 0
+
+    def holds_lease(self, now: float) -> bool:
+        """Tell if the lease is surely still held."""
+        lapse_at = self.lease_sent_at + LEASE_TTL_SECONDS
+        return self.holding and now < lapse_at - LEASE_MARGIN_SECONDS
+
+    def on_tick(
+        self,
+        now: float,
+        *,
+        candidate: bool,
+        targets: Mapping[str, UpstreamTarget],
+    ) -> list[Effect]:
+        """Renew, plan, give orders and push views, or observe."""
+        effects: list[Effect] = []
+        if self.holds_lease(now):
+            effects.extend(self._give_orders(now))
+            effects.extend(self._push_views(now))
+        if self.busy:
+            return effects
+        if self.holding:
+            return effects + self._advance(now, targets)
+        if candidate and not self.leaving:
+            return effects + self._observe(now)
+        return effects
+
+    def receive(self, sender: str, message: Any, now: float) -> list[Effect]:
+        """Take in a message of another instance's steward."""
+        return attend_cell(message, self, sender, now)
+
+    def on_answer(self, answer: Answer, now: float) -> list[Effect]:
+        """Take in an answer of the store or of an engine."""
+        return take_cell_answer(answer, self, now)
+
+    def record_load(self, upstream: str, load: UpstreamLoad) -> None:
+        """Take in a load report."""
+        self.loads[upstream] = load
+
+    def is_quiet(self) -> bool:
+        """Tell if no order of this instance can still be on its way."""
+        return not self.holding and self.orders_out == 0
+
+    def deliveries_ended(self, upstream: str, now: float) -> bool:
+        """Tell if no unanswered sending of an order can still arrive."""
+        last = self.unanswered_at.get(upstream, _NEVER)
+        return now - last > ORDER_DELIVERY_SECONDS
+
+    def is_idle(self, upstream: str) -> bool:
+        """Tell if the last load report shows no work."""
+        load = self.loads.get(upstream)
+        if load is None or not load.alive:
+            return False
+        return load.running + load.waiting == 0
+
+    def write_record(self, record: CellRecord, now: float) -> list[Effect]:
+        """Write the cell's object at the version last seen."""
+        self.busy = True
+        body = msgspec.json.encode(record)
+        return [StoreWrite(self.key, body, self.version)]
+
+    def _observe(self, now: float) -> list[Effect]:
+        if now - self.read_at < CELL_READ_SECONDS:
+            return []
+        lapsed = now - self.seen_at > LEASE_TTL_SECONDS
+        known = self.record is not None
+        released = known and self.record is not None and not self.record.holder
+        if known and (lapsed or released):
+            return self._take_over(now)
+        self.read_at = now
+        self.busy = True
+        return [StoreRead(self.key)]
+
+    def _take_over(self, now: float) -> list[Effect]:
+        assert self.record is not None
+        taken = take_over_cell(self.record, self.me, self.settings.values())
+        self.acks.clear()
+        self.quiet.clear()
+        self.drain_since.clear()
+        self.unanswered_at = {
+            name: now
+            for name, upstream in taken.upstreams.items()
+            if upstream.phase is Phase.ORDERED
+        }
+        return self.write_record(taken, now)
+
+    def _advance(
+        self, now: float, targets: Mapping[str, UpstreamTarget]
+    ) -> list[Effect]:
+        assert self.record is not None
+        if self.leaving:
+            self.holding = False
+            released = self.record._replace(holder='', incarnation='')
+            return self.write_record(released, now)
+        planned = advance_cell(self.record, self, targets, now)
+        due = now - self.lease_sent_at >= LEASE_RENEW_SECONDS
+        if planned == self.record and not due:
+            return []
+        renewals = planned.renewals + 1
+        return self.write_record(planned._replace(renewals=renewals), now)
+
+    def _give_orders(self, now: float) -> list[Effect]:
+        assert self.record is not None
+        effects: list[Effect] = []
+        for name, upstream in self.record.upstreams.items():
+            if upstream.phase is not Phase.ORDERED or upstream.order is None:
+                continue
+            if upstream.order.order_id in self.done:
+                continue
+            if now - self.ordered_at.get(name, _NEVER) < ORDER_RESEND_SECONDS:
+                continue
+            self.ordered_at[name] = now
+            self.orders_out += 1
+            effects.append(GiveOrder(name, upstream.order))
+        return effects
+
+    def _push_views(self, now: float) -> list[Effect]:
+        if now - self.pushed_at < VIEW_PUSH_SECONDS:
+            return []
+        self.pushed_at = now
+        self.subscribers = {
+            name: one
+            for name, one in self.subscribers.items()
+            if now - one.received_at <= SUBSCRIBER_SILENCE_SECONDS
+        }
+        return [
+            SendPeer(name, self.view_for(one.nonce))
+            for name, one in self.subscribers.items()
+        ]
+
+    def view_for(self, nonce: int) -> PlanView:
+        """Build the view of the plan for a subscriber's nonce."""
+        assert self.record is not None
+        self.sequence += 1
+        upstreams = tuple(
+            self._view_upstream(name, upstream)
+            for name, upstream in self.record.upstreams.items()
+        )
+        return PlanView(
+            cell=self.cell,
+            nonce=nonce,
+            token=self.record.token,
+            version=self.record.version,
+            sequence=self.sequence,
+            upstreams=upstreams,
+        )
+
+    def _view_upstream(
+        self, name: str, upstream: UpstreamRecord
+    ) -> UpstreamView:
+        setting = self.settings[name]
+        return UpstreamView(
+            name=name,
+            address=setting.address,
+            role=upstream.role,
+            phase=upstream.phase,
+            models=upstream.models,
+            load=self.loads.get(name, UpstreamLoad()),
+            domain=setting.domain,
+        )
+
+
+def take_over_cell(
+    record: CellRecord,
+    me: Identity,
+    settings: Iterable[UpstreamSetting],
+) -> CellRecord:
+    """Build the record of a new holder: a higher token, the same orders."""
+    token = record.token + 1
+    former = set(record.former)
+    if record.holder and record.incarnation != me.incarnation:
+        former.add(record.holder)
+    former.discard(me.listed.instance)
+    upstreams = {
+        one.name: UpstreamRecord(Phase.SERVING, _first_role(one), {})
+        for one in settings
+    }
+    configured = upstreams.keys() & record.upstreams.keys()
+    for name in configured:
+        upstream = record.upstreams[name]
+        upstreams[name] = _renew_order(upstream, token)
+    return record._replace(
+        holder=me.listed.instance,
+        incarnation=me.incarnation,
+        token=token,
+        version=record.version + 1,
+        renewals=0,
+        former=tuple(sorted(former)),
+        upstreams=upstreams,
+    )
+
+
+def _first_role(setting: UpstreamSetting) -> str:
+    return 'mixed' if setting.sort == 'engine' else ''
+
+
+def _renew_order(upstream: UpstreamRecord, token: int) -> UpstreamRecord:
+    if upstream.order is None:
+        return upstream
+    return upstream._replace(order=upstream.order._replace(token=token))
+
+
+def advance_cell(
+    record: CellRecord,
+    part: CellPart,
+    targets: Mapping[str, UpstreamTarget],
+    now: float,
+) -> CellRecord:
+    """Move each upstream to its next phase where that is allowed."""
+    former = tuple(
+        name
+        for name in record.former
+        if not part.absence.is_gone(name, now) and name not in part.quiet
+    )
+    upstreams: dict[str, UpstreamRecord] = {}
+    version = record.version
+    for name, upstream in record.upstreams.items():
+        leaving = name in part.absence.leaving
+        step = _step_leaving if leaving else _choose_step(upstream)
+        free = part.settings[name].checks_fencing or (
+            not former and part.deliveries_ended(name, now)
+        )
+        so_far = record._replace(upstreams={**record.upstreams, **upstreams})
+        context = StepContext(
+            name, part, targets.get(name), so_far, version + 1, now, free
+        )
+        upstreams[name] = step(upstream, context)
+        if upstreams[name] != upstream:
+            version += 1
+    return record._replace(former=former, upstreams=upstreams, version=version)
+
+
+class StepContext(NamedTuple):
+    """What the step of one upstream may look at."""
+
+    # Name of the upstream.
+    name: str
+
+    # The cell.
+    part: CellPart
+
+    # What the upstream should be; None for no opinion.
+    target: UpstreamTarget | None
+
+    # The cell's record.
+    record: CellRecord
+
+    # Version of the plan if the upstream changes.
+    next_version: int
+
+    # The time; own clock.
+    now: float
+
+    # True if a different order may be given.
+    free: bool
+
+
+def _choose_step(
+    upstream: UpstreamRecord,
+) -> Callable[[UpstreamRecord, StepContext], UpstreamRecord]:
+    steps = {
+        Phase.SERVING: _step_serving,
+        Phase.DRAINING: _step_draining,
+        Phase.ORDERED: _step_ordered,
+        Phase.LEAVING: _step_back,
+    }
+    return steps[upstream.phase]
+
+
+def _step_serving(
+    upstream: UpstreamRecord, context: StepContext
+) -> UpstreamRecord:
+    target = context.target
+    if target is None:
+        return upstream
+    if (target.role, target.models) == (upstream.role, upstream.models):
+        return upstream
+    order = EngineOrder(
+        order_id=f'{context.record.token}.{context.next_version}',
+        token=context.record.token,
+        role=target.role,
+        models=target.models,
+    )
+    if upstream.models and not may_start_drain(context.record):
+        return upstream
+    context.part.drain_since.pop(context.name, None)
+    return upstream._replace(phase=Phase.DRAINING, order=order)
+
+
+def may_start_drain(record: CellRecord) -> bool:
+    """Tell if one more engine may stop serving; never all at once."""
+    away = sum(
+        1
+        for upstream in record.upstreams.values()
+        if upstream.phase is not Phase.SERVING
+    )
+    return away < max(len(record.upstreams) // ENGINES_PER_DRAIN, 1)
+
+
+def _step_draining(
+    upstream: UpstreamRecord, context: StepContext
+) -> UpstreamRecord:
+    part = context.part
+    if context.name not in part.drain_since:
+        since = (context.record.version, context.now)
+        part.drain_since[context.name] = since
+    if not is_drained(context) or not context.free:
+        return upstream
+    if upstream.order is None:
+        return upstream._replace(phase=Phase.SERVING)
+    return upstream._replace(phase=Phase.ORDERED)
+
+
+def _step_ordered(
+    upstream: UpstreamRecord, context: StepContext
+) -> UpstreamRecord:
+    order = upstream.order
+    if order is None or order.order_id not in context.part.done:
+        return upstream
+    context.part.done.discard(order.order_id)
+    if order.role != upstream.role:
+        context.part.role_changes += 1
+    return UpstreamRecord(Phase.SERVING, order.role, order.models)
+
+
+def _step_leaving(
+    upstream: UpstreamRecord, context: StepContext
+) -> UpstreamRecord:
+    return upstream._replace(phase=Phase.LEAVING, order=None)
+
+
+def _step_back(
+    upstream: UpstreamRecord, context: StepContext
+) -> UpstreamRecord:
+    return UpstreamRecord(Phase.SERVING, upstream.role, {})
+
+
+def is_drained(context: StepContext) -> bool:
+    """Tell if nothing can reach or still run on a draining upstream.
+
+    Every entry listed later than the list's lag after the drain was
+    recorded must have applied it and be done, and the upstream be idle.
+    """
+    part = context.part
+    version, since = part.drain_since[context.name]
+    if not context.record.upstreams[context.name].models:
+        return part.is_idle(context.name)
+    if part.absence.read_at - since <= LIST_LAG_SECONDS:
+        return False
+    for instance in part.absence.listed:
+        ack = part.acks.get(instance)
+        if ack is None or ack.token != context.record.token:
+            return False
+        if ack.version < version or context.name in ack.busy:
+            return False
+    return part.is_idle(context.name)
+
+
+@singledispatch
+def attend_cell(
+    message: Any, part: CellPart, sender: str, now: float
+) -> list[Effect]:
+    """Take in a message that is not for this part."""
+    return []
+
+
+@attend_cell.register
+def _(
+    message: PlanSubscribe, part: CellPart, sender: str, now: float
+) -> list[Effect]:
+    if part.holds_lease(now):
+        part.subscribers[sender] = Subscriber(message.nonce, now)
+        if message.quiet:
+            part.quiet.add(sender)
+        return [SendPeer(sender, part.view_for(message.nonce))]
+    if part.record is None or not part.record.holder or part.holding:
+        return []
+    return [SendPeer(sender, PlanRedirect(part.cell, part.record.holder))]
+
+
+@attend_cell.register
+def _(
+    message: PlanAck, part: CellPart, sender: str, now: float
+) -> list[Effect]:
+    part.acks[instance_of(sender)] = message
+    return []
+
+
+@singledispatch
+def take_cell_answer(answer: Any, part: CellPart, now: float) -> list[Effect]:
+    """Take in an answer that is not for this part."""
+    return []
+
+
+@take_cell_answer.register
+def _(answer: ReadDone, part: CellPart, now: float) -> list[Effect]:
+    if answer.read.key != part.key:
+        return []
+    part.busy = False
+    if answer.outcome.is_ok():
+        stored = answer.outcome.unwrap()
+        if stored.version != part.version or part.record is None:
+            part.seen_at = now
+        part.version = stored.version
+        part.record = msgspec.json.decode(stored.body, type=CellRecord)
+        part.holding = part.record.incarnation == part.me.incarnation
+    elif answer.outcome.unwrap_err().code is ResultCode.STORE_NOT_FOUND:
+        part.version = 0
+        part.record = CellRecord('', '', 0, 0, 0, (), {})
+    return []
+
+
+@take_cell_answer.register
+def _(answer: WriteDone, part: CellPart, now: float) -> list[Effect]:
+    if answer.write.key != part.key:
+        return []
+    part.busy = False
+    written = msgspec.json.decode(answer.write.body, type=CellRecord)
+    if answer.outcome.is_ok():
+        part.version = answer.outcome.unwrap()
+        part.record = written
+        part.seen_at = now
+        part.lease_sent_at = answer.sent_at
+        part.holding = written.incarnation == part.me.incarnation
+        return []
+    code = answer.outcome.unwrap_err().code
+    if code is not ResultCode.STORE_UNAVAILABLE:
+        part.holding = False
+        part.record = None
+        part.read_at = _NEVER
+    return []
+
+
+@take_cell_answer.register
+def _(answer: OrderAnswered, part: CellPart, now: float) -> list[Effect]:
+    if answer.engine not in part.settings:
+        return []
+    part.orders_out -= 1
+    if answer.outcome is OrderOutcome.LOST:
+        part.unanswered_at[answer.engine] = now
+    if answer.outcome is OrderOutcome.DONE:
+        part.done.add(answer.order.order_id)
+    if answer.outcome is OrderOutcome.FENCED:
+        part.holding = False
+        part.record = None
+    return []
--- /dev/null
+++ b/cranberryrelay/agreement/_cell_messages.py
@@ -0,0 +1,127 @@
+"""Messages between a cell's holder, the stewards and the entries."""
+
+from collections.abc import Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class Phase(StrEnum):
+    """What an upstream is doing for the cell."""
+
+    # Entries may send work.
+    SERVING = 'serving'
+
+    # No new work; what runs is finished.
+    DRAINING = 'draining'
+
+    # An order is recorded and may have been given.
+    ORDERED = 'ordered'
+
+    # The platform means to stop it; no new work.
+    LEAVING = 'leaving'
+
+
+class UpstreamLoad(NamedTuple):
+    """What an upstream reported of its load; it lags behind the truth."""
+
+    # Sequences that are being decoded or prefilled.
+    running: int = 0
+
+    # Sequences that wait.
+    waiting: int = 0
+
+    # Prompt tokens that are not prefilled yet.
+    prefill_tokens: int = 0
+
+    # Seconds that the report had aged when the view was sent.
+    age_seconds: float = 0
+
+    # False when the upstream did not answer the last questions.
+    alive: bool = True
+
+
+class UpstreamView(NamedTuple):
+    """An upstream as entries are to see it."""
+
+    # Name of the upstream.
+    name: str
+
+    # 'IP:port'.
+    address: str
+
+    # Prefill, decode or mixed; empty for services.
+    role: str
+
+    # Whether it takes new work.
+    phase: Phase
+
+    # Versions of the models that it has loaded, by model.
+    models: Mapping[str, str]
+
+    # Its last load report.
+    load: UpstreamLoad
+
+    # Failure domain that it is in.
+    domain: str = ''
+
+
+class PlanSubscribe(NamedTuple):
+    """A steward asks the holder of a cell for its plan."""
+
+    # Name of the cell.
+    cell: str
+
+    # Rises with each subscription.
+    nonce: int
+
+    # True if no order of the subscriber can still be on its way.
+    quiet: bool
+
+
+class PlanView(NamedTuple):
+    """The plan of a cell; a higher (token, version, sequence) is newer."""
+
+    # Name of the cell.
+    cell: str
+
+    # Latest nonce of the subscriber, which proves that the holder's lease
+    # was valid after the subscriber had started.
+    nonce: int
+
+    # Fencing token of the holder.
+    token: int
+
+    # Version of the plan under that token.
+    version: int
+
+    # Rises with each view that the holder sends.
+    sequence: int
+
+    # The upstreams of the cell.
+    upstreams: tuple[UpstreamView, ...]
+
+
+class PlanAck(NamedTuple):
+    """An entry has applied a plan and says where it still has work."""
+
+    # Name of the cell.
+    cell: str
+
+    # Fencing token of the plan.
+    token: int
+
+    # Version of the plan.
+    version: int
+
+    # Upstreams that take no new work but still run this entry's work.
+    busy: tuple[str, ...]
+
+
+class PlanRedirect(NamedTuple):
+    """An instance that does not hold a cell names the one that does."""
+
+    # Name of the cell.
+    cell: str
+
+    # Instance that holds the cell's lease.
+    holder: str
--- /dev/null
+++ b/cranberryrelay/agreement/_follower.py
@@ -0,0 +1,152 @@
+"""A follower of release notes: subscribes, applies, ages its evidence.
+
+Both the entry and the steward follow.  Revisions only ever rise here.
+"""
+
+from collections import deque
+from functools import singledispatch
+from typing import Any, Final
+
+from cranberryrelay.agreement._effects import Effect, SendPeer
+from cranberryrelay.agreement._evidence import Evidence, EvidenceBook
+from cranberryrelay.agreement._membership import list_parents
+from cranberryrelay.agreement._spread_messages import (
+    ChangesPush,
+    EvidencePush,
+    MembersPush,
+    SnapshotPush,
+    Subscribe,
+)
+from cranberryrelay.notes import (
+    FoldedNotes,
+    RevisionRecord,
+    digest_text,
+    restore_snapshot,
+)
+from cranberryrelay.platform import ListedInstance
+
+SUBSCRIBE_SECONDS: Final = 1.0
+PARENT_SILENCE_SECONDS: Final = 1.2
+TAIL_LENGTH: Final = 256
+_NONCES_KEPT: Final = 4
+
+
+class Follower:
+    """Notes in force, evidence and members as one process knows them."""
+
+    def __init__(
+        self, me: ListedInstance, seeds: tuple[ListedInstance, ...]
+    ) -> None:
+        self.me = me
+        self.members = seeds
+        self.members_digest = ''
+        self.folded = FoldedNotes()
+        self.tail: deque[RevisionRecord] = deque(maxlen=TAIL_LENGTH)
+        self.book = EvidenceBook()
+        self.nonce = 0
+        self.sent_by_nonce: dict[int, float] = {}
+        self.parents: list[str] = []
+        self.attempt = 0
+        self.subscribed_at = float('-inf')
+        self.fed_at = float('-inf')
+        self.rejected = 0
+
+    def on_tick(
+        self, now: float, parents: list[str] | None = None
+    ) -> list[Effect]:
+        """Subscribe again when it is time, elsewhere if the parent is silent.
+
+        ``parents`` replaces the ones found from the list of instances.
+        """
+        if now - self.subscribed_at < SUBSCRIBE_SECONDS:
+            return []
+        self.parents = parents or list_parents(self.members, self.me)
+        if not self.parents:
+            return []
+        if now - self.fed_at > PARENT_SILENCE_SECONDS:
+            self.attempt += 1
+        else:
+            self.attempt = max(self.attempt, 0)
+        return [self._subscribe(now)]
+
+    def receive(self, message: Any, now: float) -> None:
+        """Take in a message from a parent."""
+        follow(message, self, now)
+
+    def apply_records(self, records: tuple[RevisionRecord, ...]) -> None:
+        """Apply the records that come next; ignore the ones already had."""
+        for record in records:
+            if record.revision <= self.folded.revision:
+                continue
+            if record.revision != self.folded.revision + 1:
+                return
+            if self.folded.apply(record).is_err():
+                self.rejected += 1
+                self.folded = FoldedNotes()
+                self.tail.clear()
+                return
+            self.tail.append(record)
+
+    def adopt(
+        self, folded: FoldedNotes, tail: tuple[RevisionRecord, ...] = ()
+    ) -> None:
+        """Take over folded notes if they are newer than the own ones."""
+        if folded.revision > self.folded.revision:
+            self.folded = folded
+            self.tail = deque(tail, maxlen=TAIL_LENGTH)
+
+    def _subscribe(self, now: float) -> SendPeer:
+        self.subscribed_at = now
+        self.nonce += 1
+        self.sent_by_nonce[self.nonce] = now
+        self.sent_by_nonce.pop(self.nonce - _NONCES_KEPT, None)
+        parent = self.parents[self.attempt % len(self.parents)]
+        message = Subscribe(
+            nonce=self.nonce,
+            revision=self.folded.revision,
+            digest=self.folded.digest.value(),
+            members=self.members_digest,
+            domain=self.me.domain,
+        )
+        return SendPeer(parent, message)
+
+
+@singledispatch
+def follow(message: Any, follower: Follower, now: float) -> None:
+    """Take in a message from a parent; others are counted and ignored."""
+    follower.rejected += 1
+
+
+@follow.register
+def _(message: EvidencePush, follower: Follower, now: float) -> None:
+    asked_at = follower.sent_by_nonce.get(message.nonce)
+    if asked_at is None:
+        return
+    follower.fed_at = now
+    sent_at = min(asked_at + message.offset_seconds, now)
+    follower.book.record(Evidence(sent_at, message.revision))
+
+
+@follow.register
+def _(message: ChangesPush, follower: Follower, now: float) -> None:
+    follower.apply_records(message.records)
+
+
+@follow.register
+def _(message: SnapshotPush, follower: Follower, now: float) -> None:
+    restored = restore_snapshot(message.snapshot)
+    if restored.is_ok():
+        follower.adopt(restored.unwrap())
+    else:
+        follower.rejected += 1
+
+
+@follow.register
+def _(message: MembersPush, follower: Follower, now: float) -> None:
+    follower.members = message.instances
+    follower.members_digest = digest_members(message.instances)
+
+
+def digest_members(instances: tuple[ListedInstance, ...]) -> str:
+    """Digest a list of instances, to tell whether a child has it."""
+    return digest_text('\n'.join(map(repr, instances)))
--- /dev/null
+++ b/cranberryrelay/entry/_link.py
@@ -0,0 +1,119 @@
+"""The task that owns the entry's core, and the way to ask it."""
+
+import logging
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, Final, NamedTuple
+
+import trio
+from result import Result
+
+from cranberryrelay.agreement import SendPeer
+from cranberryrelay.codes import Failure
+from cranberryrelay.entry._core import EntryCore
+from cranberryrelay.entry._messages import Abandon, Ask, Reply
+from cranberryrelay.timing import TimerService
+from cranberryrelay.wire import PeerClient
+
+TICK_SECONDS: Final = 0.05
+INBOX_LIMIT: Final = 4000
+_LOG: Final = logging.getLogger('cranberryrelay.entry')
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class FromPeer(NamedTuple):
+    """A message from a steward."""
+
+    # The message.
+    message: Any
+
+
+class EntryLink:
+    """Asks the core by message; one task owns the core."""
+
+    def __init__(
+        self, core: EntryCore, client: PeerClient, timers: TimerService
+    ) -> None:
+        self.core = core
+        self.client = client
+        self.timers = timers
+        self.asked = 0
+        self.answers: dict[int, trio.MemorySendChannel[Any]] = {}
+        sender, receiver = trio.open_memory_channel[Any](INBOX_LIMIT)
+        self.outside = sender
+        self.inbox = receiver
+
+    async def ask(self, question: Any) -> Result[Any, Failure]:
+        """Ask the core and wait for its answer."""
+        self.asked += 1
+        number = self.asked
+        sender, receiver = trio.open_memory_channel[Any](1)
+        self.answers[number] = sender
+        await self.outside.send(Ask(number, question))
+        try:
+            outcome: Result[Any, Failure] = await receiver.receive()
+        except trio.Cancelled:
+            self.outside.send_nowait(Ask(0, Abandon(number)))
+            raise
+        return outcome
+
+    async def tell(self, question: Any) -> None:
+        """Tell the core something, even while being cancelled."""
+        with trio.CancelScope(shield=True):
+            await self.ask(question)
+
+    async def run(self) -> None:
+        """Take events for ever."""
+        async for event in self.inbox:
+            for effect in self._decide(event):
+                self._perform(effect)
+
+    async def forward_ticks(self) -> None:
+        """Send the core the time."""
+        async for _ in self.timers.subscribe(TICK_SECONDS):
+            await self.outside.send(Tick())
+
+    async def forward_messages(self) -> None:
+        """Send the core the messages of stewards."""
+        async for _, message in self.client.inbox:
+            await self.outside.send(FromPeer(message))
+
+    def _decide(self, event: Any) -> list[Any]:
+        now = self.timers.now()
+        if isinstance(event, Ask):
+            return self.core.ask(event, now, self.timers.utc())
+        if isinstance(event, FromPeer):
+            return self.core.receive(event.message, now)
+        return self.core.on_tick(now)
+
+    def _perform(self, effect: Any) -> None:
+        if isinstance(effect, Reply):
+            waiting = self.answers.pop(effect.number, None)
+            if waiting is not None:
+                waiting.send_nowait(effect.outcome)
+        elif isinstance(effect, SendPeer):
+            self._send(effect)
+
+    def _send(self, effect: SendPeer) -> None:
+        address = self.core.settings.me.address
+        for peer in self.core.follower.members:
+            if peer.instance == effect.instance:
+                address = peer.address
+        self.client.send(effect.instance, address, effect.message)
+
+
+@asynccontextmanager
+async def open_entry_link(
+    core: EntryCore, client: PeerClient, timers: TimerService
+) -> AsyncIterator[EntryLink]:
+    """Run the core's task for as long as the context is open."""
+    link = EntryLink(core, client, timers)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(link.run)
+        nursery.start_soon(link.forward_ticks)
+        nursery.start_soon(link.forward_messages)
+        yield link
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/cranberryrelay/entry/_program.py
@@ -0,0 +1,129 @@
+"""The entry's program: settings, sockets, signals and the HTTP server."""
+
+import random
+from typing import Final
+
+import fire
+import httpx
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from cranberryrelay.entry._core import EntryCore
+from cranberryrelay.entry._http_app import make_entry_app
+from cranberryrelay.entry._link import EntryLink, open_entry_link
+from cranberryrelay.entry._pipeline import Pipeline
+from cranberryrelay.entry._telemetry import Telemetry
+from cranberryrelay.logs import open_logs
+from cranberryrelay.settings import Settings
+from cranberryrelay.steward import (
+    make_incarnation,
+    make_peer_codec,
+    read_checked_settings,
+    stop_on_signal,
+)
+from cranberryrelay.timing import TimerService, open_timer_service
+from cranberryrelay.wire import open_context, open_peer_client
+
+GRACE_SECONDS: Final = 60.0
+NOT_READY_SECONDS: Final = 0.5
+LAST_REPORT_SECONDS: Final = 3.0
+CONNECTIONS_LIMIT: Final = 2000
+REQUEST_HEAD_BYTES_LIMIT: Final = 65_536
+_POLL_SECONDS: Final = 0.1
+
+
+async def serve_entry(
+    settings: Settings, incarnation: str, stop: trio.Event
+) -> None:
+    """Serve callers until ``stop`` is set, then finish what is running."""
+    limits = httpx.Limits(max_connections=CONNECTIONS_LIMIT)
+    async with (
+        open_timer_service() as timers,
+        httpx.AsyncClient(
+            trust_env=False, limits=limits, timeout=None
+        ) as client,
+        trio.open_nursery() as nursery,
+    ):
+        core = EntryCore(settings, incarnation, random.Random(incarnation))
+        with (
+            open_context() as context,
+            open_peer_client(
+                core.name,
+                context,
+                settings.keys,
+                make_peer_codec(),
+                nursery,
+            ) as peers,
+        ):
+            async with open_entry_link(core, peers, timers) as link:
+                pipeline = Pipeline(link, client, timers, Telemetry())
+                await _serve_http(settings, pipeline, stop)
+                await wait_reported(link, timers)
+        nursery.cancel_scope.cancel()
+
+
+async def wait_reported(link: EntryLink, timers: TimerService) -> None:
+    """Wait until the account has what ran here, for a while at most."""
+    give_up_at = timers.now() + LAST_REPORT_SECONDS
+    while link.core.ranges.unsaved and timers.now() < give_up_at:
+        await timers.pause(_POLL_SECONDS)
+
+
+async def _serve_http(
+    settings: Settings, pipeline: Pipeline, stop: trio.Event
+) -> None:
+    config = Config()
+    config.bind = [settings.entry_address]
+    config.graceful_timeout = GRACE_SECONDS
+    config.h11_max_incomplete_size = REQUEST_HEAD_BYTES_LIMIT
+    config.accesslog = None
+    config.errorlog = None
+    draining = DrainTrigger(pipeline, stop)
+    await serve(
+        make_entry_app(pipeline), config, shutdown_trigger=draining.wait
+    )
+
+
+class DrainTrigger:
+    """Tells callers' balancer first, then stops taking connections."""
+
+    def __init__(self, pipeline: Pipeline, stop: trio.Event) -> None:
+        self.pipeline = pipeline
+        self.stop = stop
+
+    async def wait(self) -> None:
+        """Return when the server is to stop taking connections."""
+        await self.stop.wait()
+        self.pipeline.link.core.draining = True
+        await self.pipeline.timers.pause(NOT_READY_SECONDS)
+        while self.pipeline.link.core.open_slots:
+            await self.pipeline.timers.pause(_POLL_SECONDS)
+
+
+class EntryCommands:
+    """Commands of cranberryrelay-entry."""
+
+    def run(self, path: str) -> None:
+        """Run an entry with the settings at ``path``."""
+        settings = read_checked_settings(path)
+        with open_logs('entry', settings.me.instance):
+            trio.run(_run, settings)
+
+    def check_settings(self, path: str) -> str:
+        """Check the settings at ``path`` and start nothing."""
+        read_checked_settings(path)
+        return 'settings: no fault'
+
+
+async def _run(settings: Settings) -> None:
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_on_signal, stop)
+        await serve_entry(settings, make_incarnation(), stop)
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(EntryCommands)
--- /dev/null
+++ b/cranberryrelay/logs/__init__.py
@@ -0,0 +1,3 @@
+"""Logs as JSON lines."""
+
+from cranberryrelay.logs._logs import open_logs as open_logs
--- /dev/null
+++ b/cranberryrelay/standins/__init__.py
@@ -0,0 +1,46 @@
+"""Stand-ins for the platform, engines and services, with faults."""
+
+from cranberryrelay.standins._engine import CACHE_PREFIXES as CACHE_PREFIXES
+from cranberryrelay.standins._engine import (
+    CHARACTERS_PER_TOKEN as CHARACTERS_PER_TOKEN,
+)
+from cranberryrelay.standins._engine import (
+    PREFIX_CHARACTERS as PREFIX_CHARACTERS,
+)
+from cranberryrelay.standins._engine import (
+    EngineCrashedError as EngineCrashedError,
+)
+from cranberryrelay.standins._engine import EngineFaults as EngineFaults
+from cranberryrelay.standins._engine import EngineSpeed as EngineSpeed
+from cranberryrelay.standins._engine import EngineStandIn as EngineStandIn
+from cranberryrelay.standins._engine import GenerateRequest as GenerateRequest
+from cranberryrelay.standins._engine import TokenEvent as TokenEvent
+from cranberryrelay.standins._engine import count_tokens as count_tokens
+from cranberryrelay.standins._engine import token_text as token_text
+from cranberryrelay.standins._engine import whole_answer as whole_answer
+from cranberryrelay.standins._http_app import (
+    make_standins_app as make_standins_app,
+)
+from cranberryrelay.standins._platform_routes import (
+    PlatformRoutes as PlatformRoutes,
+)
+from cranberryrelay.standins._program import main as main
+from cranberryrelay.standins._program import read_standins as read_standins
+from cranberryrelay.standins._program import run_standins as run_standins
+from cranberryrelay.standins._program import serve_standins as serve_standins
+from cranberryrelay.standins._replies import VERSION_HEADER as VERSION_HEADER
+from cranberryrelay.standins._replies import as_json as as_json
+from cranberryrelay.standins._replies import read_body as read_body
+from cranberryrelay.standins._replies import refuse as refuse
+from cranberryrelay.standins._replies import refuse_or_lose as refuse_or_lose
+from cranberryrelay.standins._replies import reply_json as reply_json
+from cranberryrelay.standins._service import SERVICE_SECONDS as SERVICE_SECONDS
+from cranberryrelay.standins._service import ServiceFaults as ServiceFaults
+from cranberryrelay.standins._service import ServiceStandIn as ServiceStandIn
+from cranberryrelay.standins._standins import StandIns as StandIns
+from cranberryrelay.standins._store import CutOffStore as CutOffStore
+from cranberryrelay.standins._store import StoreFaults as StoreFaults
+from cranberryrelay.standins._store import StoreStandIn as StoreStandIn
+from cranberryrelay.standins._upstream_routes import (
+    UpstreamRoutes as UpstreamRoutes,
+)
--- /dev/null
+++ b/cranberryrelay/standins/_platform_routes.py
@@ -0,0 +1,72 @@
+"""The platform stand-in over HTTP."""
+
+import msgspec
+from quart import Response, request
+
+from cranberryrelay.platform import ListedInstance
+from cranberryrelay.standins._replies import (
+    VERSION_HEADER,
+    read_body,
+    refuse,
+    refuse_or_lose,
+    reply_json,
+)
+from cranberryrelay.standins._store import StoreStandIn
+
+
+class PlatformRoutes:
+    """Routes of the object API and the list of instances."""
+
+    def __init__(self, store: StoreStandIn) -> None:
+        self.store = store
+
+    async def list_objects(self) -> Response:
+        """List the objects below a prefix."""
+        prefix = request.args.get('prefix', '')
+        return reply_json(await self.store.list_objects(prefix))
+
+    async def read_object(self, key: str) -> Response:
+        """Read an object."""
+        outcome = await self.store.read(key)
+        if outcome.is_err():
+            return refuse(outcome.unwrap_err())
+        stored = outcome.unwrap()
+        headers = {VERSION_HEADER: str(stored.version)}
+        return Response(stored.body, headers=headers)
+
+    async def write_object(self, key: str) -> Response:
+        """Write an object at its expected version."""
+        expected = int(request.headers[VERSION_HEADER])
+        written = await self.store.write(key, await read_body(), expected)
+        if written.is_err():
+            return await refuse_or_lose(written.unwrap_err())
+        version = str(written.unwrap())
+        return Response('', headers={VERSION_HEADER: version})
+
+    async def watch_object(self, key: str) -> Response:
+        """Wait for a newer version of an object."""
+        after = int(request.args['after'])
+        wait = float(request.args['wait'])
+        outcome = await self.store.watch(key, after, wait)
+        if outcome.is_err():
+            return refuse(outcome.unwrap_err())
+        stored = outcome.unwrap()
+        headers = {VERSION_HEADER: str(stored.version)}
+        return Response(stored.body, headers=headers)
+
+    async def list_instances(self) -> Response:
+        """List the live and leaving instances."""
+        return reply_json(await self.store.list_instances())
+
+    async def put_instance(self, name: str) -> Response:
+        """Add or change an entry of the list; for tests and trials."""
+        body = await read_body()
+        self.store.instances[name] = msgspec.json.decode(
+            body, type=ListedInstance
+        )
+        return Response('')
+
+    async def delete_instance(self, name: str) -> Response:
+        """Take an entry off the list; for tests and trials."""
+        self.store.instances.pop(name, None)
+        return Response('')
--- /dev/null
+++ b/cranberryrelay/standins/_store.py
@@ -0,0 +1,186 @@
+"""A stand-in for the platform's object API, in memory, with faults."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import trio
+from result import Err, Ok, Result
+
+from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform import (
+    VALUE_BYTES_LIMIT,
+    ListedInstance,
+    StoredObject,
+)
+
+
+class StoreFaults(NamedTuple):
+    """Fault switches of the store."""
+
+    # Refuse every call.
+    outage: bool = False
+
+    # Delay of every call, in seconds.
+    slow_seconds: float = 0
+
+    # Number of next writes that take effect but are not answered.
+    lost_answers: int = 0
+
+    # Watches answer with the version before the latest.
+    stale_watch: bool = False
+
+    # Watches never report a change.
+    watch_gap: bool = False
+
+    # Instances that are cut off from the store, by name.
+    cut_off: tuple[str, ...] = ()
+
+
+class StoreStandIn:
+    """Objects with versions, conditional writes, lists and watches."""
+
+    def __init__(self, instances: tuple[ListedInstance, ...] = ()) -> None:
+        self.stored: dict[str, list[StoredObject]] = {}
+        self.instances = {listed.instance: listed for listed in instances}
+        self.faults = StoreFaults()
+        self.changed = trio.Event()
+        self.reads = 0
+        self.writes = 0
+
+    def switch_faults(self, switches: Mapping[str, object]) -> None:
+        """Change the named fault switches."""
+        self.faults = self.faults._replace(**switches)  # type: ignore[arg-type]
+
+    def peek(self, key: str) -> StoredObject | None:
+        """Return the latest version of an object without counting a call."""
+        versions = self.stored.get(key)
+        return versions[-1] if versions else None
+
+    async def read(self, key: str) -> Result[StoredObject, Failure]:
+        """Read the latest version of an object."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return Err(refusal)
+        found = self.peek(key)
+        if found is None:
+            return Err(fail(ResultCode.STORE_NOT_FOUND, key))
+        return Ok(found)
+
+    async def write(
+        self, key: str, body: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        """Write if the object still has the expected version; 0 creates."""
+        self.writes += 1
+        refusal = await self._enter()
+        if refusal:
+            return Err(refusal)
+        if len(body) > VALUE_BYTES_LIMIT:
+            return Err(fail(ResultCode.NOTE_TOO_LARGE, key))
+        found = self.peek(key)
+        version = found.version if found else 0
+        if version != expected_version:
+            return Err(fail(ResultCode.STORE_CONFLICT, key))
+        kept = StoredObject(key, version + 1, body)
+        self.stored.setdefault(key, []).append(kept)
+        self.stored[key] = self.stored[key][-2:]
+        self.changed.set()
+        self.changed = trio.Event()
+        if self.faults.lost_answers > 0:
+            left = self.faults.lost_answers - 1
+            self.faults = self.faults._replace(lost_answers=left)
+            return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, key))
+        return Ok(kept.version)
+
+    async def list_objects(
+        self, prefix: str
+    ) -> Result[list[StoredObject], Failure]:
+        """List the objects below a prefix."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return Err(refusal)
+        keys = sorted(key for key in self.stored if key.startswith(prefix))
+        return Ok([self.stored[key][-1] for key in keys])
+
+    async def watch(
+        self, key: str, after_version: int, wait_seconds: float
+    ) -> Result[StoredObject, Failure]:
+        """Wait for a version above ``after_version``."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return Err(refusal)
+        with trio.move_on_after(wait_seconds):
+            while True:
+                found = self._peek_watched(key)
+                if found and found.version > after_version:
+                    return Ok(found)
+                await self.changed.wait()
+        return Err(fail(ResultCode.STORE_NOT_FOUND, key))
+
+    async def list_instances(self) -> Result[list[ListedInstance], Failure]:
+        """Read the list of instances."""
+        self.reads += 1
+        refusal = await self._enter()
+        if refusal:
+            return Err(refusal)
+        return Ok(list(self.instances.values()))
+
+    def _peek_watched(self, key: str) -> StoredObject | None:
+        versions = self.stored.get(key, [])
+        if self.faults.watch_gap or not versions:
+            return None
+        return versions[0] if self.faults.stale_watch else versions[-1]
+
+    async def _enter(self) -> Failure | None:
+        await trio.lowlevel.checkpoint()
+        if self.faults.slow_seconds:
+            await trio.sleep(self.faults.slow_seconds)
+        if self.faults.outage:
+            return fail(ResultCode.STORE_UNAVAILABLE, 'outage')
+        return None
+
+
+class CutOffStore:
+    """The store as one instance reaches it; may be cut off from it."""
+
+    def __init__(self, store: StoreStandIn, instance: str) -> None:
+        self.store = store
+        self.instance = instance
+
+    async def read(self, key: str) -> Result[StoredObject, Failure]:
+        """Read unless the instance is cut off."""
+        return self._cut() or await self.store.read(key)
+
+    async def write(
+        self, key: str, body: bytes, expected_version: int
+    ) -> Result[int, Failure]:
+        """Write unless the instance is cut off."""
+        return self._cut() or await self.store.write(
+            key, body, expected_version
+        )
+
+    async def list_objects(
+        self, prefix: str
+    ) -> Result[list[StoredObject], Failure]:
+        """List unless the instance is cut off."""
+        return self._cut() or await self.store.list_objects(prefix)
+
+    async def watch(
+        self, key: str, after_version: int, wait_seconds: float
+    ) -> Result[StoredObject, Failure]:
+        """Watch unless the instance is cut off."""
+        cut = self._cut()
+        if cut:
+            return cut
+        return await self.store.watch(key, after_version, wait_seconds)
+
+    async def list_instances(self) -> Result[list[ListedInstance], Failure]:
+        """List instances unless the instance is cut off."""
+        return self._cut() or await self.store.list_instances()
+
+    def _cut(self) -> Err[Failure] | None:
+        if self.instance in self.store.faults.cut_off:
+            return Err(fail(ResultCode.STORE_UNAVAILABLE, 'cut off'))
+        return None
--- /dev/null
+++ b/cranberryrelay/timing/__init__.py
@@ -0,0 +1,7 @@
+"""Time: one service that parts subscribe to."""
+
+from cranberryrelay.timing._timer_service import TimerService as TimerService
+from cranberryrelay.timing._timer_service import limit_time as limit_time
+from cranberryrelay.timing._timer_service import (
+    open_timer_service as open_timer_service,
+)
--- /dev/null
+++ b/cranberryrelay/wire/__init__.py
@@ -0,0 +1,17 @@
+"""Sockets between the processes and the codec of their messages."""
+
+from cranberryrelay.wire._client import INBOX_LIMIT as INBOX_LIMIT
+from cranberryrelay.wire._client import PeerClient as PeerClient
+from cranberryrelay.wire._client import open_peer_client as open_peer_client
+from cranberryrelay.wire._codec import Codec as Codec
+from cranberryrelay.wire._codec import Message as Message
+from cranberryrelay.wire._codec import make_codec as make_codec
+from cranberryrelay.wire._network import PeerNetwork as PeerNetwork
+from cranberryrelay.wire._network import open_peer_network as open_peer_network
+from cranberryrelay.wire._sockets import FRAME_BYTES_LIMIT as FRAME_BYTES_LIMIT
+from cranberryrelay.wire._sockets import HIGH_WATER_MARK as HIGH_WATER_MARK
+from cranberryrelay.wire._sockets import CurveKeys as CurveKeys
+from cranberryrelay.wire._sockets import FrameSocket as FrameSocket
+from cranberryrelay.wire._sockets import open_context as open_context
+from cranberryrelay.wire._sockets import open_dealer as open_dealer
+from cranberryrelay.wire._sockets import open_router as open_router
--- /dev/null
+++ b/cranberryrelay/wire/_client.py
@@ -0,0 +1,84 @@
+"""A process's connections to stewards, without a listening socket."""
+
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from typing import Any, Final
+
+import trio
+import zmq
+
+from cranberryrelay.wire._codec import Codec
+from cranberryrelay.wire._sockets import CurveKeys, FrameSocket, open_dealer
+
+_REPLY_FRAMES: Final = 4
+INBOX_LIMIT: Final = 2000
+
+
+class PeerClient:
+    """Connections that are known to the other side by the client's name."""
+
+    def __init__(
+        self,
+        name: str,
+        context: 'zmq.Context[zmq.Socket[bytes]]',
+        keys: CurveKeys,
+        codec: Codec[Any],
+        stack: ExitStack,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.name = name
+        self.context = context
+        self.keys = keys
+        self.codec = codec
+        self.stack = stack
+        self.nursery = nursery
+        sender, receiver = trio.open_memory_channel[tuple[str, Any]](
+            INBOX_LIMIT
+        )
+        self.outside = sender
+        self.inbox = receiver
+        self.dealers: dict[str, FrameSocket] = {}
+        self.malformed = 0
+
+    def send(self, peer: str, address: str, message: Any) -> bool:
+        """Send without waiting; False when the message is dropped."""
+        dealer = self.dealers.get(address)
+        if dealer is None:
+            dealer = self.stack.enter_context(
+                open_dealer(self.context, address, self.keys, self.name)
+            )
+            self.dealers[address] = dealer
+            self.nursery.start_soon(self._receive, dealer)
+        return dealer.send_now(
+            [
+                self.name.encode(),
+                peer.encode(),
+                *self.codec.encode(message),
+            ]
+        )
+
+    async def _receive(self, dealer: FrameSocket) -> None:
+        while True:
+            frames = await dealer.receive()
+            if len(frames) != _REPLY_FRAMES:
+                self.malformed += 1
+                continue
+            decoded = self.codec.decode(frames[2:])
+            if decoded.is_err():
+                self.malformed += 1
+                continue
+            sender = frames[0].decode(errors='replace')
+            await self.outside.send((sender, decoded.unwrap()))
+
+
+@contextmanager
+def open_peer_client(
+    name: str,
+    context: 'zmq.Context[zmq.Socket[bytes]]',
+    keys: CurveKeys,
+    codec: Codec[Any],
+    nursery: trio.Nursery,
+) -> Iterator[PeerClient]:
+    """Open connections that close with the context."""
+    with ExitStack() as stack:
+        yield PeerClient(name, context, keys, codec, stack, nursery)
--- /dev/null
+++ b/cranberryrelay/wire/_sockets.py
@@ -0,0 +1,122 @@
+"""pyzmq sockets on trio: bounded, authenticated when keys are given.
+
+pyzmq has no trio support.  Its file descriptor is edge-triggered, so the
+socket is drained until ``Again`` before the task waits for it.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any, Final, NamedTuple
+
+import trio
+import zmq
+
+HIGH_WATER_MARK: Final = 1000
+FRAME_BYTES_LIMIT: Final = 1_000_000
+_POLL_SECONDS: Final = 0.05
+
+
+class CurveKeys(NamedTuple):
+    """Keys for CURVE; all of them empty to go without."""
+
+    # Public key shared by all instances of the deployment.
+    public: bytes = b''
+
+    # Secret key that goes with it.
+    secret: bytes = b''
+
+
+class FrameSocket:
+    """A socket that one task owns."""
+
+    def __init__(self, socket: 'zmq.Socket[bytes]') -> None:
+        self.socket = socket
+        self.dropped = 0
+
+    def send_now(self, frames: list[bytes]) -> bool:
+        """Send without waiting; False when the peer's queue is full."""
+        try:
+            self.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self.dropped += 1
+            return False
+        return True
+
+    async def receive(self) -> list[bytes]:
+        """Wait for the next frames."""
+        while True:
+            try:
+                return self.socket.recv_multipart(zmq.NOBLOCK)
+            except zmq.Again:
+                await self._wait_readable()
+
+    async def _wait_readable(self) -> None:
+        events: Any = self.socket.getsockopt(zmq.EVENTS)
+        if events & zmq.POLLIN:
+            return
+        descriptor: Any = self.socket.getsockopt(zmq.FD)
+        with trio.move_on_after(_POLL_SECONDS):
+            await trio.lowlevel.wait_readable(descriptor)
+
+
+@contextmanager
+def open_context() -> Iterator['zmq.Context[zmq.Socket[bytes]]']:
+    """Open the process's zmq context."""
+    context = zmq.Context()
+    try:
+        yield context
+    finally:
+        context.destroy(linger=0)
+
+
+@contextmanager
+def open_router(
+    context: 'zmq.Context[zmq.Socket[bytes]]',
+    address: str,
+    keys: CurveKeys,
+) -> Iterator[FrameSocket]:
+    """Open the socket that peers connect to, on 'IP:port'."""
+    socket = _make_socket(context, zmq.ROUTER)
+    if keys.secret:
+        socket.curve_server = True
+        socket.curve_secretkey = keys.secret
+        socket.curve_publickey = keys.public
+    socket.router_mandatory = True
+    socket.bind(f'tcp://{address}')
+    try:
+        yield FrameSocket(socket)
+    finally:
+        socket.close()
+
+
+@contextmanager
+def open_dealer(
+    context: 'zmq.Context[zmq.Socket[bytes]]',
+    address: str,
+    keys: CurveKeys,
+    identity: str = '',
+) -> Iterator[FrameSocket]:
+    """Open a socket to the peer at 'IP:port', with an identity if named."""
+    socket = _make_socket(context, zmq.DEALER)
+    if identity:
+        socket.identity = identity.encode()
+    if keys.secret:
+        socket.curve_serverkey = keys.public
+        socket.curve_secretkey = keys.secret
+        socket.curve_publickey = keys.public
+    socket.connect(f'tcp://{address}')
+    try:
+        yield FrameSocket(socket)
+    finally:
+        socket.close()
+
+
+def _make_socket(
+    context: 'zmq.Context[zmq.Socket[bytes]]', kind: int
+) -> 'zmq.Socket[bytes]':
+    socket = context.socket(kind)
+    socket.linger = 0
+    socket.sndhwm = HIGH_WATER_MARK
+    socket.rcvhwm = HIGH_WATER_MARK
+    socket.maxmsgsize = FRAME_BYTES_LIMIT
+    return socket
