--- a/cranberryrelay/steward/_core.py
+++ b/cranberryrelay/steward/_core.py
@@ -281,7 +281,7 @@
     message: PlanAck, core: StewardCore, sender: str, now: float
 ) -> list[Effect]:
     part = core.cells.get(message.cell)
-    if part is not None and part.holding:
+    if part is not None and part.holds_lease(now):
         return part.receive(sender, message, now)
     if core.is_own_entry(sender):
         return core.relay.receive(sender, message, now)
--- a/cranberryrelay/testkit/_invariants.py
+++ b/cranberryrelay/testkit/_invariants.py
@@ -32,8 +32,9 @@
 
 def find_double_holders(network: LocalNetwork) -> Iterator[str]:
     """Find cells for which two instances believe in their lease."""
-    cells = next(iter(network.all_settings.values())).upstreams
-    for cell in {upstream.cell for upstream in cells}:
+    upstreams = next(iter(network.all_settings.values())).upstreams
+    cells = sorted({upstream.cell for upstream in upstreams})
+    for cell in cells:
         holders = [
             name
             for name, instance in network.instances.items()
--- a/cranberryrelay/testkit/_local_network.py
+++ b/cranberryrelay/testkit/_local_network.py
@@ -147,6 +147,9 @@
         self.posted: list[Posted] = []
         self.store_cut: set[str] = set()
         self.peer_cut: set[str] = set()
+        self.side: set[str] = set()
+        self.delay_orders_of: set[str] = set()
+        self.delayed_orders: list[DelayedOrder] = []
         self.lose_messages = float(0)
         self.list_changes: list[ListChange] = []
         self.list_lag_seconds = float(0)
@@ -252,6 +255,18 @@
         )
         return admitted.unwrap_or(0)
 
+    def is_cut(self, sender: str, receiver: str) -> bool:
+        """Tell if messages between two instances are lost."""
+        if sender in self.peer_cut or receiver in self.peer_cut:
+            return True
+        return (sender in self.side) != (receiver in self.side)
+
+    def release_orders(self) -> None:
+        """Let orders arrive that were delayed on their way."""
+        for delayed in self.delayed_orders:
+            carry_out(delayed.order, self, delayed.origin)
+        self.delayed_orders = []
+
     def post(self, receiver: str, event: Any, delay: float) -> None:
         """Deliver an event to an instance later."""
         posted = Posted(round(self.now + delay, 6), receiver, event)
@@ -340,6 +355,16 @@
     peer: str
 
 
+class DelayedOrder(NamedTuple):
+    """An order that is delayed on its way."""
+
+    # The order.
+    order: GiveOrder
+
+    # Who gave it.
+    origin: Origin
+
+
 class ToEntry(NamedTuple):
     """A message for an instance's entry."""
 
@@ -363,9 +388,7 @@
     me = origin.instance.settings.me.instance
     receiver = instance_of(effect.instance)
     sender = effect.sender or origin.peer
-    cut = receiver != me and (
-        me in network.peer_cut or receiver in network.peer_cut
-    )
+    cut = receiver != me and network.is_cut(me, receiver)
     lost = network.rng.random() < network.lose_messages
     if receiver != me:
         network.messages_sent[me] += 1
@@ -432,6 +455,9 @@
 @carry_out.register
 def _(effect: GiveOrder, network: LocalNetwork, origin: Origin) -> None:
     name = origin.instance.settings.me.instance
+    if name in network.delay_orders_of:
+        network.delayed_orders.append(DelayedOrder(effect, origin))
+        return
     engine = network.engines[effect.engine]
     outcome = engine.take(effect.order, network.now)
     answered = OrderAnswered(effect.engine, effect.order, outcome)
