--- a/cranberryrelay/agreement/__init__.py
+++ b/cranberryrelay/agreement/__init__.py
@@ -51,6 +51,7 @@
 from cranberryrelay.agreement._cell import (
     ENGINES_PER_DRAIN as ENGINES_PER_DRAIN,
 )
+from cranberryrelay.agreement._cell import FENCE_STEP as FENCE_STEP
 from cranberryrelay.agreement._cell import (
     LEASE_MARGIN_SECONDS as LEASE_MARGIN_SECONDS,
 )
@@ -82,6 +83,7 @@
 from cranberryrelay.agreement._cell import advance_cell as advance_cell
 from cranberryrelay.agreement._cell import attend_cell as attend_cell
 from cranberryrelay.agreement._cell import cell_key as cell_key
+from cranberryrelay.agreement._cell import fence_number as fence_number
 from cranberryrelay.agreement._cell import is_drained as is_drained
 from cranberryrelay.agreement._cell import may_start_drain as may_start_drain
 from cranberryrelay.agreement._cell import take_cell_answer as take_cell_answer
--- a/cranberryrelay/agreement/_cell.py
+++ b/cranberryrelay/agreement/_cell.py
@@ -7,6 +7,7 @@
 released the lease or has stopped.
 """
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from functools import singledispatch
 from typing import Any, Final, NamedTuple
@@ -50,6 +51,7 @@
 ORDER_RESEND_SECONDS: Final = 0.5
 ORDER_DELIVERY_SECONDS: Final = 10.0
 ENGINES_PER_DRAIN: Final = 4
+FENCE_STEP: Final = 1_000_000_000
 VIEW_PUSH_SECONDS: Final = 0.5
 SUBSCRIBER_SILENCE_SECONDS: Final = 5.0
 _NEVER: Final = float('-inf')
@@ -171,7 +173,7 @@
         self.ordered_at: dict[str, float] = {}
         self.done: set[str] = set()
         self.unanswered_at: dict[str, float] = {}
-        self.orders_out = 0
+        self.orders_out: Counter[str] = Counter()
         self.drain_since: dict[str, tuple[int, float]] = {}
         self.acks: dict[str, PlanAck] = {}
         self.subscribers: dict[str, Subscriber] = {}
@@ -218,10 +220,12 @@
 
     def is_quiet(self) -> bool:
         """Tell if no order of this instance can still be on its way."""
-        return not self.holding and self.orders_out == 0
+        return not self.holding and self.orders_out.total() == 0
 
     def deliveries_ended(self, upstream: str, now: float) -> bool:
-        """Tell if no unanswered sending of an order can still arrive."""
+        """Tell if no sending of an order can still arrive."""
+        if self.orders_out[upstream]:
+            return False
         last = self.unanswered_at.get(upstream, _NEVER)
         return now - last > ORDER_DELIVERY_SECONDS
 
@@ -284,12 +288,12 @@
         for name, upstream in self.record.upstreams.items():
             if upstream.phase is not Phase.ORDERED or upstream.order is None:
                 continue
-            if upstream.order.order_id in self.done:
+            if upstream.order.order_id in self.done or self.orders_out[name]:
                 continue
             if now - self.ordered_at.get(name, _NEVER) < ORDER_RESEND_SECONDS:
                 continue
             self.ordered_at[name] = now
-            self.orders_out += 1
+            self.orders_out[name] += 1
             effects.append(GiveOrder(name, upstream.order))
         return effects
 
@@ -357,7 +361,8 @@
     configured = upstreams.keys() & record.upstreams.keys()
     for name in configured:
         upstream = record.upstreams[name]
-        upstreams[name] = _renew_order(upstream, token)
+        fence = fence_number(token, record.version + 1)
+        upstreams[name] = _renew_order(upstream, fence)
     return record._replace(
         holder=me.listed.instance,
         incarnation=me.incarnation,
@@ -373,10 +378,19 @@
     return 'mixed' if setting.sort == 'engine' else ''
 
 
-def _renew_order(upstream: UpstreamRecord, token: int) -> UpstreamRecord:
+def fence_number(token: int, version: int) -> int:
+    """Return the fencing number of an order.
+
+    It rises with each change of holder and with each new order, so a late
+    copy of an order of the same holder is refused as well.
+    """
+    return token * FENCE_STEP + version
+
+
+def _renew_order(upstream: UpstreamRecord, fence: int) -> UpstreamRecord:
     if upstream.order is None:
         return upstream
-    return upstream._replace(order=upstream.order._replace(token=token))
+    return upstream._replace(order=upstream.order._replace(token=fence))
 
 
 def advance_cell(
@@ -456,7 +470,7 @@
         return upstream
     order = EngineOrder(
         order_id=f'{context.record.token}.{context.next_version}',
-        token=context.record.token,
+        token=fence_number(context.record.token, context.next_version),
         role=target.role,
         models=target.models,
     )
@@ -614,7 +628,7 @@
 def _(answer: OrderAnswered, part: CellPart, now: float) -> list[Effect]:
     if answer.engine not in part.settings:
         return []
-    part.orders_out -= 1
+    part.orders_out[answer.engine] -= 1
     if answer.outcome is OrderOutcome.LOST:
         part.unanswered_at[answer.engine] = now
     if answer.outcome is OrderOutcome.DONE:
--- a/cranberryrelay/agreement/_effects.py
+++ b/cranberryrelay/agreement/_effects.py
@@ -78,7 +78,7 @@
     # Same for every sending of one order.
     order_id: str
 
-    # Fencing token of the sender.
+    # Fencing number; rises with each holder and with each new order.
     token: int
 
     # Role that the engine is to have.
--- a/cranberryrelay/agreement/tests/test_traces.py
+++ b/cranberryrelay/agreement/tests/test_traces.py
@@ -4,11 +4,10 @@
 it must then fail, which shows that the check can fail.
 """
 
-import unittest
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from typing import Any
-from unittest import mock
+from unittest import TestCase, mock
 
 from nose2.tools import params
 from result import Ok
@@ -52,9 +51,7 @@
         f'{CELL}_step_leaving': lambda upstream, context: upstream,
     },
     'nothing is released at a stop': {
-        'cranberryrelay.steward._core.StewardCore.start_leaving': always(
-            None
-        ),
+        'cranberryrelay.steward._core.StewardCore.start_leaving': always(None),
     },
 }
 
@@ -68,7 +65,7 @@
         yield
 
 
-class TraceTest(unittest.TestCase):
+class TraceTest(TestCase):
     """Replays of all traces."""
 
     @params(*TRACES)
--- a/cranberryrelay/testkit/__init__.py
+++ b/cranberryrelay/testkit/__init__.py
@@ -1,55 +1,64 @@
 """Helpers of the tests."""
 
-from cranberryrelay.testkit._invariants import find_stale_admissions as find_stale_admissions
-from cranberryrelay.testkit._invariants import find_double_holders as find_double_holders
-from cranberryrelay.testkit._invariants import find_conflicting_orders as find_conflicting_orders
+from cranberryrelay.testkit._invariants import (
+    find_conflicting_orders as find_conflicting_orders,
+)
 from cranberryrelay.testkit._invariants import find_cut_work as find_cut_work
-from cranberryrelay.testkit._local_network import STEP_SECONDS as STEP_SECONDS
+from cranberryrelay.testkit._invariants import (
+    find_double_holders as find_double_holders,
+)
+from cranberryrelay.testkit._invariants import (
+    find_stale_admissions as find_stale_admissions,
+)
 from cranberryrelay.testkit._local_network import HEAD_KEY as HEAD_KEY
-from cranberryrelay.testkit._local_network import Landed as Landed
-from cranberryrelay.testkit._local_network import OrderedEngine as OrderedEngine
-from cranberryrelay.testkit._local_network import Posted as Posted
+from cranberryrelay.testkit._local_network import STEP_SECONDS as STEP_SECONDS
+from cranberryrelay.testkit._local_network import DelayedOrder as DelayedOrder
 from cranberryrelay.testkit._local_network import Instance as Instance
-from cranberryrelay.testkit._local_network import LocalNetwork as LocalNetwork
+from cranberryrelay.testkit._local_network import Landed as Landed
 from cranberryrelay.testkit._local_network import ListChange as ListChange
+from cranberryrelay.testkit._local_network import LocalNetwork as LocalNetwork
+from cranberryrelay.testkit._local_network import OrderedEngine as OrderedEngine
 from cranberryrelay.testkit._local_network import Origin as Origin
-from cranberryrelay.testkit._local_network import DelayedOrder as DelayedOrder
+from cranberryrelay.testkit._local_network import Posted as Posted
 from cranberryrelay.testkit._local_network import ToEntry as ToEntry
 from cranberryrelay.testkit._local_network import carry_out as carry_out
 from cranberryrelay.testkit._profiles import EXAMPLES as EXAMPLES
-from cranberryrelay.testkit._profiles import STEPS as STEPS
 from cranberryrelay.testkit._profiles import STEADY as STEADY
-from cranberryrelay.testkit._sites import FIRST_PEER_PORT as FIRST_PEER_PORT
+from cranberryrelay.testkit._profiles import STEPS as STEPS
 from cranberryrelay.testkit._sites import FIRST_ENGINE_PORT as FIRST_ENGINE_PORT
-from cranberryrelay.testkit._sites import NOTE_HEAD as NOTE_HEAD
+from cranberryrelay.testkit._sites import FIRST_PEER_PORT as FIRST_PEER_PORT
 from cranberryrelay.testkit._sites import NOTE_BODY as NOTE_BODY
-from cranberryrelay.testkit._sites import make_sites as make_sites
-from cranberryrelay.testkit._sites import make_content as make_content
+from cranberryrelay.testkit._sites import NOTE_HEAD as NOTE_HEAD
 from cranberryrelay.testkit._sites import make_command as make_command
-from cranberryrelay.testkit._trace import TRACE_FOLDER as TRACE_FOLDER
+from cranberryrelay.testkit._sites import make_content as make_content
+from cranberryrelay.testkit._sites import make_sites as make_sites
+from cranberryrelay.testkit._trace import ACTIONS as ACTIONS
 from cranberryrelay.testkit._trace import CELL as CELL
-from cranberryrelay.testkit._trace import TraceMismatchError as TraceMismatchError
-from cranberryrelay.testkit._trace import Trace as Trace
-from cranberryrelay.testkit._trace import load_traces as load_traces
-from cranberryrelay.testkit._trace import load_trace as load_trace
+from cranberryrelay.testkit._trace import TRACE_FOLDER as TRACE_FOLDER
+from cranberryrelay.testkit._trace import LineAction as LineAction
 from cranberryrelay.testkit._trace import Replay as Replay
-from cranberryrelay.testkit._trace import do_run as do_run
-from cranberryrelay.testkit._trace import do_note as do_note
+from cranberryrelay.testkit._trace import Trace as Trace
+from cranberryrelay.testkit._trace import (
+    TraceMismatchError as TraceMismatchError,
+)
+from cranberryrelay.testkit._trace import do_cut as do_cut
+from cranberryrelay.testkit._trace import do_delay_orders as do_delay_orders
+from cranberryrelay.testkit._trace import do_kill as do_kill
+from cranberryrelay.testkit._trace import do_leave as do_leave
+from cranberryrelay.testkit._trace import do_list as do_list
 from cranberryrelay.testkit._trace import do_name as do_name
+from cranberryrelay.testkit._trace import do_note as do_note
 from cranberryrelay.testkit._trace import do_pause as do_pause
-from cranberryrelay.testkit._trace import do_kill as do_kill
+from cranberryrelay.testkit._trace import do_run as do_run
 from cranberryrelay.testkit._trace import do_start as do_start
-from cranberryrelay.testkit._trace import do_leave as do_leave
-from cranberryrelay.testkit._trace import do_cut as do_cut
 from cranberryrelay.testkit._trace import do_store as do_store
-from cranberryrelay.testkit._trace import do_delay_orders as do_delay_orders
 from cranberryrelay.testkit._trace import do_work as do_work
-from cranberryrelay.testkit._trace import do_list as do_list
-from cranberryrelay.testkit._trace import expect_admits as expect_admits
 from cranberryrelay.testkit._trace import expect_accepted as expect_accepted
-from cranberryrelay.testkit._trace import expect_versions as expect_versions
-from cranberryrelay.testkit._trace import expect_takes_work as expect_takes_work
-from cranberryrelay.testkit._trace import expect_phase as expect_phase
+from cranberryrelay.testkit._trace import expect_admits as expect_admits
 from cranberryrelay.testkit._trace import expect_delayed as expect_delayed
 from cranberryrelay.testkit._trace import expect_left as expect_left
-from cranberryrelay.testkit._trace import ACTIONS as ACTIONS
+from cranberryrelay.testkit._trace import expect_phase as expect_phase
+from cranberryrelay.testkit._trace import expect_takes_work as expect_takes_work
+from cranberryrelay.testkit._trace import expect_versions as expect_versions
+from cranberryrelay.testkit._trace import load_trace as load_trace
+from cranberryrelay.testkit._trace import load_traces as load_traces
--- a/cranberryrelay/testkit/_trace.py
+++ b/cranberryrelay/testkit/_trace.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Mapping
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
 import msgspec
@@ -166,12 +167,12 @@
 
 def do_delay_orders(replay: Replay, line: Mapping[str, Any]) -> None:
     """Delay the orders of an instance, or let them arrive."""
-    if 'instance' in line:
-        name = replay.resolve(line['instance'])
-        replay.network.delay_orders_of = {name}
-    else:
-        replay.network.delay_orders_of = set()
+    named = line.get('instance')
+    replay.network.delay_orders_of = set()
+    if named is None:
         replay.network.release_orders()
+    else:
+        replay.network.delay_orders_of = {replay.resolve(named)}
 
 
 def do_work(replay: Replay, line: Mapping[str, Any]) -> None:
@@ -250,24 +251,27 @@
         raise TraceMismatchError(f'{name} still holds something')
 
 
-ACTIONS: Final[Mapping[str, Callable[[Replay, Mapping[str, Any]], None]]] = {
-    'run': do_run,
-    'note': do_note,
-    'name': do_name,
-    'pause': do_pause,
-    'kill': do_kill,
-    'start': do_start,
-    'leave': do_leave,
-    'cut': do_cut,
-    'store': do_store,
-    'delay-orders': do_delay_orders,
-    'work': do_work,
-    'list': do_list,
-    'expect-admits': expect_admits,
-    'expect-accepted': expect_accepted,
-    'expect-versions': expect_versions,
-    'expect-takes-work': expect_takes_work,
-    'expect-phase': expect_phase,
-    'expect-delayed': expect_delayed,
-    'expect-left': expect_left,
-}
+LineAction = Callable[[Replay, Mapping[str, Any]], None]
+ACTIONS: Final[Mapping[str, LineAction]] = MappingProxyType(
+    {
+        'run': do_run,
+        'note': do_note,
+        'name': do_name,
+        'pause': do_pause,
+        'kill': do_kill,
+        'start': do_start,
+        'leave': do_leave,
+        'cut': do_cut,
+        'store': do_store,
+        'delay-orders': do_delay_orders,
+        'work': do_work,
+        'list': do_list,
+        'expect-admits': expect_admits,
+        'expect-accepted': expect_accepted,
+        'expect-versions': expect_versions,
+        'expect-takes-work': expect_takes_work,
+        'expect-phase': expect_phase,
+        'expect-delayed': expect_delayed,
+        'expect-left': expect_left,
+    }
+)
