--- a/cranberryrelay/policy/_choice.py
+++ b/cranberryrelay/policy/_choice.py
@@ -13,8 +13,12 @@
 SAMPLE_SIZE: Final = 8
 CACHE_ENTRIES_LIMIT: Final = 4096
 BLOCK_CHARACTERS: Final = 256
+LEAST_URGENT: Final = 9
+PREFILL: Final = 'prefill'
+BETWEEN_TOKENS_SECONDS: Final = 0.052
 SENDS_KEPT_LIMIT: Final = 512
 _FAR_PENALTY_SECONDS: Final = 0.005
+_LEAST_PREFILL_PART: Final = 0.05
 
 
 class EngineRates(NamedTuple):
@@ -54,6 +58,9 @@
     # True if it is in the entry's own failure domain.
     near: bool = True
 
+    # Prompt tokens not prefilled by priority, from 0; empty if unknown.
+    prefill_by_priority: tuple[float, ...] = ()
+
 
 class Sent(NamedTuple):
     """Work that this entry sent to an engine."""
@@ -64,6 +71,9 @@
     # Prompt tokens that are to be prefilled.
     prefill_tokens: int
 
+    # Priority that it was sent with; lower is more urgent.
+    priority: int = 0
+
 
 class Choice(NamedTuple):
     """The engine chosen, and what was predicted of it."""
@@ -124,8 +134,12 @@
         prefix: str,
         prompt_tokens: int,
         now: float,
+        priority: int = LEAST_URGENT,
     ) -> Choice | None:
-        """Choose the engine with the best score, None without engines."""
+        """Choose the engine with the best score, None without engines.
+
+        Work that is less urgent than ``priority`` is not waited for.
+        """
         if not engines:
             return None
         cached = self.prefixes.find(prefix)
@@ -134,8 +148,8 @@
         best_score = float('inf')
         for engine in candidates:
             held = min(cached.get(engine.name, 0), prompt_tokens)
-            seconds = self._predict(engine, prompt_tokens - held, now)
-            score = seconds + self._pressure(engine, now)
+            seconds = self._predict(engine, prompt_tokens - held, now, priority)
+            score = seconds + self._pressure(engine)
             if score < best_score:
                 best_score = score
                 best = Choice(engine.name, seconds, held)
@@ -164,21 +178,43 @@
             kept.popleft()
         return kept
 
-    def _predict(self, engine: EngineView, uncached: int, now: float) -> float:
-        rate = self.rates.prefill_tokens_per_second
+    def _predict(
+        self, engine: EngineView, uncached: int, now: float, priority: int
+    ) -> float:
+        rate = self._prefill_rate(engine)
         elapsed = max(now - engine.reported_at, 0)
-        backlog = engine.prefill_tokens - elapsed * rate
+        backlog = tokens_ahead(engine, priority) - elapsed * rate
         for one in self._unreported(engine):
-            drained = max(backlog, 0)
-            backlog = drained + one.prefill_tokens
+            if one.priority <= priority:
+                backlog = max(backlog, 0) + one.prefill_tokens
         far = 0 if engine.near else _FAR_PENALTY_SECONDS
         return (max(backlog, 0) + uncached) / rate + far
 
-    def _pressure(self, engine: EngineView, now: float) -> float:
-        running = engine.running + len(self._unreported(engine))
-        step = (
+    def _prefill_rate(self, engine: EngineView) -> float:
+        """Return the prompt tokens a second; mixed engines prefill slowly."""
+        full = self.rates.prefill_tokens_per_second
+        if engine.role == PREFILL:
+            return full
+        left = BETWEEN_TOKENS_SECONDS - self._step_seconds(engine.running)
+        part = max(left / BETWEEN_TOKENS_SECONDS, _LEAST_PREFILL_PART)
+        return full * part
+
+    def _step_seconds(self, running: int) -> float:
+        return (
             self.rates.step_seconds
             + self.rates.step_seconds_per_sequence * running
         )
+
+    def _pressure(self, engine: EngineView) -> float:
+        if engine.role == PREFILL:
+            return 0
+        running = engine.running + len(self._unreported(engine))
         over = max(running - self.rates.slots, 0)
-        return step + over * self.rates.step_seconds
+        return self._step_seconds(running) + over * self.rates.step_seconds
+
+
+def tokens_ahead(engine: EngineView, priority: int) -> float:
+    """Return the prompt tokens that go before work of a priority."""
+    if not engine.prefill_by_priority:
+        return engine.prefill_tokens
+    return sum(engine.prefill_by_priority[: priority + 1])
