Count a waiting request as demand for prefill and for decoding

Requests that waited for a slot counted as prefill demand only, though slots to decode were what they lacked, so each change made it worse. Also: floors count the larger of a rank's shares of slots and of prompt tokens, estimates of engines are drained between sends, decoding counts survive late reports, and a request that would miss its target is refused before it is sent.

--- a/cranberryrelay/measure/_policies.py
+++ b/cranberryrelay/measure/_policies.py
@@ -18,6 +18,7 @@
     EngineChooser,
     EngineRates,
     EngineView,
+    Placement,
     QueuedRequest,
     RankLimiter,
     RolePlanner,
@@ -32,8 +33,9 @@
     RankRule('overnight', 3, 0.1, queue=2000),
 )
 LEVELS: Final[Mapping[str, int]] = {rank.name: rank.level for rank in RANKS}
-UNITS_PER_ENGINE: Final = 2.0
-PREFILL_SECONDS_PER_UNIT: Final = 1.0
+PREFILL_SLOTS: Final = 4
+PACE_SECONDS: Final = 0.4
+TARGET_PART: Final = 0.85
 DEMAND_SECONDS: Final = 8.0
 GREEDY_BACKLOG_SECONDS: Final = 1.5
 GREEDY_OCCUPANCY: Final = 0.9
@@ -82,13 +84,13 @@
     def decide(self, now: float) -> Decided:
         """Send or refuse what waits."""
 
-    def prefilled(self, sequence: Sequence) -> None:
+    def prefilled(self, sequence: Sequence, engine: str) -> None:
         """Learn that a prompt is prefilled."""
 
     def hand_on(self, sequence: Sequence) -> str:
         """Choose the engine that decodes a prefilled sequence."""
 
-    def ended(self, sequence: Sequence) -> None:
+    def ended(self, sequence: Sequence, engine: str) -> None:
         """Learn that a sequence has all its tokens."""
 
     def crashed(self, sequence: Sequence, now: float) -> bool:
@@ -114,128 +116,134 @@
         self.planner = RolePlanner(rates)
         self.suspects = SuspectBook()
         self.reports: dict[str, EngineReport] = {}
+        self.usable: list[EngineView] = []
         self.waiting: dict[int, Sequence] = {}
-        self.handed: Counter[str] = Counter()
         self.arrived: list[tuple[float, float, float]] = []
-        self.decoding = 0
+        self.now = float(0)
+        self.dispatches: list[Dispatch] = []
 
     def offer(self, sequence: Sequence, now: float) -> bool:
-        """Queue a sequence in its rank."""
+        """Queue a sequence in its rank, unless it is held back."""
         self.arrived.append((now, sequence.prompt, sequence.output))
-        return self._queue(sequence, now)
+        if self.suspects.must_refuse(str(sequence.number), now):
+            return False
+        return self._queue(sequence)
 
     def decide(self, now: float) -> Decided:
-        """Grant slots and choose engines."""
-        usable = [one.view for one in self.reports.values() if one.takes_work]
-        self.limiter.configure(RANKS, len(usable) * UNITS_PER_ENGINE)
-        decisions = self.limiter.decide(now)
-        decided = Decided([], [])
-        for late in decisions.expired:
-            decided.refused.append(self.waiting.pop(late.ask))
-        for grant in decisions.granted:
-            sequence = self.waiting.pop(grant.request.ask)
-            choice = self.chooser.choose(
-                usable, '', round(sequence.prompt), now, grant.priority
-            )
-            if choice is None:
-                decided.refused.append(sequence)
-                self._release(sequence, 1, 1)
-                continue
-            sent = Sent(now, round(sequence.prompt), grant.priority)
-            self.chooser.record_sent(choice.engine, sent)
-            decided.dispatches.append(
-                Dispatch(sequence, choice.engine, grant.priority)
-            )
-        return decided
-
-    def prefilled(self, sequence: Sequence) -> None:
-        """Give back the slots that the prompt took."""
-        self.decoding += 1
-        self._release(sequence, 1, 0)
+        """Grant slots to what finds an engine that is not behind."""
+        self.now = now
+        self.dispatches = []
+        slots = sum(self._slots_of(one) for one in self.usable)
+        rates = sum(self.chooser.estimate(one, now).rate for one in self.usable)
+        self.limiter.configure(RANKS, slots, rates * PACE_SECONDS)
+        decisions = self.limiter.decide(now, self._place)
+        refused = [self.waiting.pop(one.ask) for one in decisions.expired]
+        return Decided(self.dispatches, refused)
+
+    def prefilled(self, sequence: Sequence, engine: str) -> None:
+        """Give back the prompt; the slot is held to the end."""
+        rank = self.kinds[sequence.kind].rank
+        self.limiter.release_prefill(rank, sequence.prompt)
+        if self._role_of(engine) == MIXED:
+            self.chooser.record_running(engine, self.now, 1)
 
     def hand_on(self, sequence: Sequence) -> str:
         """Choose the mixed engine with the fewest sequences."""
-        usable = [
-            one.view
-            for one in self.reports.values()
-            if one.takes_work and one.view.role == MIXED
-        ]
-        if not usable:
+        mixed = [one for one in self.usable if one.role == MIXED]
+        chosen = self.chooser.choose_decoder(mixed, self.now)
+        if chosen is None:
             return ''
-        chosen = min(
-            usable, key=lambda one: one.running + self.handed[one.name]
-        )
-        self.handed[chosen.name] += 1
-        return chosen.name
+        self.chooser.record_running(chosen, self.now, 1)
+        return chosen
 
-    def ended(self, sequence: Sequence) -> None:
-        """Give back the slots that the output took."""
-        self.decoding -= 1
-        self._release(sequence, 0, 1)
+    def ended(self, sequence: Sequence, engine: str) -> None:
+        """Give back the slot."""
+        self.limiter.release(self.kinds[sequence.kind].rank, 1)
+        self.chooser.record_running(engine, self.now, -1)
         self.suspects.clear(str(sequence.number))
 
     def crashed(self, sequence: Sequence, now: float) -> bool:
         """Count the crash; run again what is not held back."""
-        if sequence.first_token_at >= 0:
-            self.decoding -= 1
-            self._release(sequence, 0, 1)
-        else:
-            self._release(sequence, 1, 1)
+        rank = self.kinds[sequence.kind].rank
+        self.limiter.release(rank, 1)
+        if sequence.first_token_at < 0:
+            self.limiter.release_prefill(rank, sequence.prompt)
         name = str(sequence.number)
-        crash = SuspectCrash(name, f'{name}.{sequence.attempts}', False)
-        self.suspects.record(crash, now)
-        return not self.suspects.must_refuse(name, now) and self._queue(
-            sequence, now
-        )
+        attempt = f'{name}.{sequence.arrived_at}.{sequence.attempts}'
+        self.suspects.record(SuspectCrash(name, attempt, False), now)
+        if self.suspects.must_refuse(name, now):
+            return False
+        return self._queue(sequence)
 
     def observe(self, reports: SequenceOf[EngineReport]) -> None:
         """Take in load reports."""
         self.reports = {one.view.name: one for one in reports}
-        self.handed.clear()
+        self.usable = [one.view for one in reports if one.takes_work]
 
     def plan(self, roles: Mapping[str, str], now: float) -> dict[str, str]:
         """Plan roles for the demand of the last seconds."""
         since = now - DEMAND_SECONDS
         self.arrived = [one for one in self.arrived if one[0] > since]
-        backlog = sum(one.prompt for one in self.waiting.values())
-        backlog += sum(one.view.prefill_tokens for one in self.reports.values())
-        demand = Demand(
-            sum(one[1] for one in self.arrived) / DEMAND_SECONDS,
-            sum(one[2] for one in self.arrived) / DEMAND_SECONDS,
-            backlog,
-        )
+        prefill = sum(one[1] for one in self.arrived) / DEMAND_SECONDS
+        decode = sum(one[2] for one in self.arrived) / DEMAND_SECONDS
+        for waiting in self.waiting.values():
+            seconds = self.kinds[waiting.kind].first_token_seconds
+            prefill += waiting.prompt / seconds
+            decode += waiting.output / seconds
+        demand = Demand(prefill, decode)
         self.planner.observe(demand)
         return self.planner.plan(roles, {}, now)
 
-    def _queue(self, sequence: Sequence, now: float) -> bool:
+    def _place(self, request: QueuedRequest, priority: int) -> Placement:
+        sequence = self.waiting[request.ask]
+        tokens = round(sequence.prompt)
+        choice = self.chooser.choose(
+            self.usable, '', tokens, self.now, priority
+        )
+        if choice is None:
+            return Placement.WAITS
+        target = self.kinds[sequence.kind].first_token_seconds
+        latest = sequence.arrived_at + target * TARGET_PART
+        if self.now + choice.first_token_seconds > latest:
+            return Placement.TOO_LATE
+        own = tokens / self.rates.prefill_tokens_per_second
+        if choice.first_token_seconds - own > PACE_SECONDS:
+            return Placement.WAITS
+        self.chooser.record_sent(
+            choice.engine, Sent(self.now, tokens, priority)
+        )
+        self.waiting.pop(request.ask)
+        self.dispatches.append(Dispatch(sequence, choice.engine, priority))
+        return Placement.STARTED
+
+    def _role_of(self, engine: str) -> str:
+        report = self.reports.get(engine)
+        return report.view.role if report else ''
+
+    def _slots_of(self, view: EngineView) -> float:
+        if view.role == MIXED:
+            return self.rates.slots
+        return PREFILL_SLOTS
+
+    def _queue(self, sequence: Sequence) -> bool:
         kind = self.kinds[sequence.kind]
         least = sequence.prompt / self.rates.prefill_tokens_per_second
-        start_by = sequence.arrived_at + kind.first_token_seconds - least
+        target = kind.first_token_seconds * TARGET_PART
+        start_by = sequence.arrived_at + target - least
         request = QueuedRequest(
             ask=sequence.number,
             rank=kind.rank,
             caller=str(sequence.number % CALLERS),
             weight=1,
-            slots=self._prefill_units(sequence) + self._decode_units(),
+            slots=1,
             start_by=start_by,
+            prefill_tokens=sequence.prompt,
         )
         taken = self.limiter.offer(request)
         if taken:
             self.waiting[sequence.number] = sequence
         return taken
 
-    def _release(self, sequence: Sequence, prefill: int, decode: int) -> None:
-        units = prefill * self._prefill_units(sequence)
-        units += decode * self._decode_units()
-        self.limiter.release(self.kinds[sequence.kind].rank, units)
-
-    def _prefill_units(self, sequence: Sequence) -> float:
-        seconds = sequence.prompt / self.rates.prefill_tokens_per_second
-        return seconds / PREFILL_SECONDS_PER_UNIT
-
-    def _decode_units(self) -> float:
-        return 1 / self.rates.slots
-
 
 class FixedSplitPolicy:
     """Baseline: a third of the engines prefill, round robin, no ranks."""
@@ -266,7 +274,7 @@
         self.waiting = []
         return decided
 
-    def prefilled(self, sequence: Sequence) -> None:
+    def prefilled(self, sequence: Sequence, engine: str) -> None:
         """Do nothing."""
 
     def hand_on(self, sequence: Sequence) -> str:
@@ -275,7 +283,7 @@
         self.turn += 1
         return names[self.turn % len(names)] if names else ''
 
-    def ended(self, sequence: Sequence) -> None:
+    def ended(self, sequence: Sequence, engine: str) -> None:
         """Do nothing."""
 
     def crashed(self, sequence: Sequence, now: float) -> bool:
--- a/cranberryrelay/measure/_policy_run.py
+++ b/cranberryrelay/measure/_policy_run.py
@@ -133,14 +133,14 @@
 
     def _take(self, engine: ModelEngine, advanced: Advanced) -> None:
         for sequence in advanced.prefilled:
-            self.policy.prefilled(sequence)
+            self.policy.prefilled(sequence, engine.name)
             if engine.role == PREFILL:
                 self.homeless.append(sequence)
             else:
                 sequence.ready_at = self.now
                 engine.decoding.append(sequence)
         for ended in advanced.ended:
-            self.policy.ended(ended)
+            self.policy.ended(ended, engine.name)
         for lost in advanced.lost:
             again = self.policy.crashed(lost, self.now)
             lost.refused = not again
--- a/cranberryrelay/policy/__init__.py
+++ b/cranberryrelay/policy/__init__.py
@@ -14,16 +14,20 @@
 from cranberryrelay.policy._choice import EngineRates as EngineRates
 from cranberryrelay.policy._choice import EngineView as EngineView
 from cranberryrelay.policy._choice import Sent as Sent
+from cranberryrelay.policy._choice import Moved as Moved
 from cranberryrelay.policy._choice import Choice as Choice
 from cranberryrelay.policy._choice import PrefixIndex as PrefixIndex
+from cranberryrelay.policy._choice import Estimate as Estimate
 from cranberryrelay.policy._choice import EngineChooser as EngineChooser
-from cranberryrelay.policy._choice import tokens_ahead as tokens_ahead
 from cranberryrelay.policy._limiter import (
     BORROWED_PRIORITY as BORROWED_PRIORITY,
 )
 from cranberryrelay.policy._limiter import QueuedRequest as QueuedRequest
 from cranberryrelay.policy._limiter import Grant as Grant
 from cranberryrelay.policy._limiter import Decisions as Decisions
+from cranberryrelay.policy._limiter import Placement as Placement
+from cranberryrelay.policy._limiter import Place as Place
+from cranberryrelay.policy._limiter import place_anywhere as place_anywhere
 from cranberryrelay.policy._limiter import FairQueue as FairQueue
 from cranberryrelay.policy._limiter import RankLimiter as RankLimiter
 from cranberryrelay.policy._retries import RETRY_RATIO as RETRY_RATIO
--- a/cranberryrelay/policy/_choice.py
+++ b/cranberryrelay/policy/_choice.py
@@ -75,6 +75,16 @@
     priority: int = 0
 
 
+class Moved(NamedTuple):
+    """A sequence of this entry that began or ended to decode."""
+
+    # When it did, on the own clock.
+    at: float
+
+    # 1 or -1.
+    change: int
+
+
 class Choice(NamedTuple):
     """The engine chosen, and what was predicted of it."""
 
@@ -119,6 +129,37 @@
         return self.holders.get(key, {})
 
 
+class Estimate:
+    """What an entry thinks an engine has to do, from reports and sends."""
+
+    def __init__(self, view: EngineView, rate: float) -> None:
+        self.reported_at = view.reported_at
+        self.at = view.reported_at
+        self.rate = rate
+        self.ahead = [float(0) for _ in range(LEAST_URGENT + 1)]
+        self.running = view.running
+        if view.prefill_by_priority:
+            for priority, tokens in enumerate(view.prefill_by_priority):
+                self.ahead[priority] = tokens
+        else:
+            self.ahead[0] = view.prefill_tokens
+
+    def drain(self, now: float) -> None:
+        """Let the engine work up to now, the most urgent first."""
+        budget = max(now - self.at, 0) * self.rate
+        self.at = max(now, self.at)
+        for priority, tokens in enumerate(self.ahead):
+            if budget <= 0:
+                return
+            done = min(tokens, budget)
+            self.ahead[priority] = tokens - done
+            budget -= done
+
+    def tokens_ahead(self, priority: int) -> float:
+        """Return the prompt tokens that go before work of a priority."""
+        return sum(self.ahead[: priority + 1])
+
+
 class EngineChooser:
     """Chooses engines for one entry; one task owns it."""
 
@@ -127,6 +168,8 @@
         self.rng = rng
         self.prefixes = PrefixIndex()
         self.sent: dict[str, deque[Sent]] = {}
+        self.moved: dict[str, deque[Moved]] = {}
+        self.estimates: dict[str, Estimate] = {}
 
     def choose(
         self,
@@ -143,22 +186,71 @@
         if not engines:
             return None
         cached = self.prefixes.find(prefix)
-        candidates = self._sample(engines, cached)
         best: Choice | None = None
         best_score = float('inf')
-        for engine in candidates:
+        for engine in self._sample(engines, cached):
             held = min(cached.get(engine.name, 0), prompt_tokens)
-            seconds = self._predict(engine, prompt_tokens - held, now, priority)
-            score = seconds + self._pressure(engine)
+            estimate = self.estimate(engine, now)
+            ahead = estimate.tokens_ahead(priority) + prompt_tokens - held
+            far = 0 if engine.near else _FAR_PENALTY_SECONDS
+            seconds = ahead / estimate.rate + far
+            score = seconds + self._pressure(engine, estimate)
             if score < best_score:
                 best_score = score
                 best = Choice(engine.name, seconds, held)
         return best
 
+    def choose_decoder(
+        self, engines: Sequence[EngineView], now: float
+    ) -> str | None:
+        """Choose the engine with the fewest sequences, None without any."""
+        if not engines:
+            return None
+        best = min(
+            engines,
+            key=lambda one: (self.estimate(one, now).running, not one.near),
+        )
+        return best.name
+
     def record_sent(self, engine: str, sent: Sent) -> None:
         """Note work sent to an engine, to correct its next reports."""
         kept = self.sent.setdefault(engine, deque(maxlen=SENDS_KEPT_LIMIT))
         kept.append(sent)
+        estimate = self.estimates.get(engine)
+        if estimate is not None:
+            estimate.drain(sent.sent_at)
+            estimate.ahead[sent.priority] += sent.prefill_tokens
+
+    def record_running(self, engine: str, now: float, change: int) -> None:
+        """Note that a sequence of this entry began or ended to decode."""
+        kept = self.moved.setdefault(engine, deque(maxlen=SENDS_KEPT_LIMIT))
+        kept.append(Moved(now, change))
+        estimate = self.estimates.get(engine)
+        if estimate is not None:
+            estimate.running = max(estimate.running + change, 0)
+
+    def estimate(self, engine: EngineView, now: float) -> Estimate:
+        """Return the estimate of an engine, made anew at a new report."""
+        known = self.estimates.get(engine.name)
+        if known is None or known.reported_at != engine.reported_at:
+            known = self._make_estimate(engine)
+            self.estimates[engine.name] = known
+        known.drain(now)
+        return known
+
+    def _make_estimate(self, engine: EngineView) -> Estimate:
+        made = Estimate(engine, self._prefill_rate(engine))
+        for one in self.sent.get(engine.name, ()):
+            if one.sent_at > engine.reported_at:
+                made.drain(one.sent_at)
+                made.ahead[one.priority] += one.prefill_tokens
+        changes = sum(
+            moved.change
+            for moved in self.moved.get(engine.name, ())
+            if moved.at > engine.reported_at
+        )
+        made.running = max(made.running + changes, 0)
+        return made
 
     def _sample(
         self, engines: Sequence[EngineView], cached: dict[str, int]
@@ -170,26 +262,6 @@
             sampled.extend(one for one in engines if one.name in cached)
         return sampled
 
-    def _unreported(self, engine: EngineView) -> deque[Sent]:
-        kept = self.sent.get(engine.name)
-        if kept is None:
-            return deque()
-        while kept and kept[0].sent_at <= engine.reported_at:
-            kept.popleft()
-        return kept
-
-    def _predict(
-        self, engine: EngineView, uncached: int, now: float, priority: int
-    ) -> float:
-        rate = self._prefill_rate(engine)
-        elapsed = max(now - engine.reported_at, 0)
-        backlog = tokens_ahead(engine, priority) - elapsed * rate
-        for one in self._unreported(engine):
-            if one.priority <= priority:
-                backlog = max(backlog, 0) + one.prefill_tokens
-        far = 0 if engine.near else _FAR_PENALTY_SECONDS
-        return (max(backlog, 0) + uncached) / rate + far
-
     def _prefill_rate(self, engine: EngineView) -> float:
         """Return the prompt tokens a second; mixed engines prefill slowly."""
         full = self.rates.prefill_tokens_per_second
@@ -205,16 +277,9 @@
             + self.rates.step_seconds_per_sequence * running
         )
 
-    def _pressure(self, engine: EngineView) -> float:
+    def _pressure(self, engine: EngineView, estimate: Estimate) -> float:
         if engine.role == PREFILL:
             return 0
-        running = engine.running + len(self._unreported(engine))
-        over = max(running - self.rates.slots, 0)
-        return self._step_seconds(running) + over * self.rates.step_seconds
-
-
-def tokens_ahead(engine: EngineView, priority: int) -> float:
-    """Return the prompt tokens that go before work of a priority."""
-    if not engine.prefill_by_priority:
-        return engine.prefill_tokens
-    return sum(engine.prefill_by_priority[: priority + 1])
+        over = max(estimate.running - self.rates.slots, 0)
+        step = self._step_seconds(estimate.running)
+        return step + over * self.rates.step_seconds
--- a/cranberryrelay/policy/_limiter.py
+++ b/cranberryrelay/policy/_limiter.py
@@ -1,14 +1,17 @@
 """Ranks: floors that hold in any flood, idle shares lent, fair callers.
 
-Capacity is counted in slots.  A rank below its floor is always granted,
-even over the capacity, because engines honour priority and pause work that
-was granted on borrowed slots.  What is left goes to the most urgent rank
+Capacity is counted in slots, which a request holds to its end, and in prompt
+tokens, which it holds until it is prefilled; a rank's share is the larger of
+its two.  A rank below its floor is always granted, even over the capacity,
+because engines honour priority and pause work that was granted on borrowed
+capacity.  What is left goes to the most urgent rank
 first, on borrowed slots.  Callers of one rank are served by weighted fair
 queueing.
 """
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from enum import StrEnum
 from typing import Final, NamedTuple
 
 from cranberryrelay.notes import RankRule
@@ -37,6 +40,9 @@
     # Latest useful start, in seconds on the own clock.
     start_by: float
 
+    # Prompt tokens that are to be prefilled.
+    prefill_tokens: float = 0
+
 
 class Grant(NamedTuple):
     """A request that may start."""
@@ -58,6 +64,27 @@
     expired: list[QueuedRequest]
 
 
+class Placement(StrEnum):
+    """Whether a granted request found a place."""
+
+    # It was placed and starts.
+    STARTED = 'started'
+
+    # No engine should take it now; it keeps waiting.
+    WAITS = 'waits'
+
+    # It can not meet its target any more.
+    TOO_LATE = 'too_late'
+
+
+Place = Callable[[QueuedRequest, int], Placement]
+
+
+def place_anywhere(request: QueuedRequest, priority: int) -> Placement:
+    """Let every granted request start."""
+    return Placement.STARTED
+
+
 class FairQueue:
     """Requests of one rank, by weighted fair queueing over callers."""
 
@@ -78,6 +105,10 @@
         self.waiting[request.caller].append(request)
         self.length += 1
 
+    def peek(self) -> QueuedRequest:
+        """Return the next request of the caller that had the least."""
+        return self.waiting[min(self.waiting, key=self._finish_of)][0]
+
     def pop(self) -> QueuedRequest:
         """Take the next request of the caller that had the least."""
         caller = min(self.waiting, key=self._finish_of)
@@ -108,14 +139,26 @@
         self.rules: Mapping[str, RankRule] = {}
         self.order: list[str] = []
         self.capacity = float(0)
+        self.prefill_capacity = float(0)
         self.used: dict[str, float] = {}
+        self.prefilling: dict[str, float] = {}
         self.queues: dict[str, FairQueue] = {}
 
-    def configure(self, rules: Iterable[RankRule], capacity: float) -> None:
-        """Take the ranks in force and the capacity in slots."""
+    def configure(
+        self,
+        rules: Iterable[RankRule],
+        capacity: float,
+        prefill_capacity: float = 0,
+    ) -> None:
+        """Take the ranks in force and the capacity.
+
+        ``capacity`` is in slots, ``prefill_capacity`` in prompt tokens
+        that may wait at the engines; 0 leaves these out of the shares.
+        """
         self.rules = {rule.name: rule for rule in rules}
         self.order = sorted(self.rules, key=lambda name: self.rules[name].level)
         self.capacity = capacity
+        self.prefill_capacity = prefill_capacity
 
     def offer(self, request: QueuedRequest) -> bool:
         """Queue a request; False when the rank's queue is full."""
@@ -130,47 +173,80 @@
         """Give back the slots of a request that ended."""
         self.used[rank] = max(self.used.get(rank, 0) - slots, 0)
 
-    def decide(self, now: float) -> Decisions:
-        """Grant what may start now and drop what comes too late."""
+    def release_prefill(self, rank: str, tokens: float) -> None:
+        """Give back the prompt tokens of a request that is prefilled."""
+        left = self.prefilling.get(rank, 0) - tokens
+        self.prefilling[rank] = max(left, 0)
+
+    def share_of(self, rank: str) -> float:
+        """Return the larger of a rank's shares of slots and of prefill."""
+        slots = self.used.get(rank, 0) / self.capacity if self.capacity else 1
+        if not self.prefill_capacity:
+            return slots
+        tokens = self.prefilling.get(rank, 0) / self.prefill_capacity
+        return max(slots, tokens)
+
+    def decide(self, now: float, place: Place = place_anywhere) -> Decisions:
+        """Grant what may start now and drop what comes too late.
+
+        ``place`` is asked with each request and its priority before the
+        request leaves the queue.
+        """
         decisions = Decisions([], [])
         for rank in self.order:
-            self._grant_floor(rank, now, decisions)
+            self._grant_floor(rank, now, decisions, place)
         for lent in self.order:
-            self._grant_borrowed(lent, now, decisions)
+            self._grant_borrowed(lent, now, decisions, place)
         return decisions
 
-    def _grant_floor(self, rank: str, now: float, decisions: Decisions) -> None:
+    def _grant_floor(
+        self, rank: str, now: float, decisions: Decisions, place: Place
+    ) -> None:
         rule = self.rules[rank]
-        floor = rule.floor * self.capacity
-        while self.used.get(rank, 0) < floor:
-            if not self._grant_next(rank, now, rule.level, decisions):
+        while self.share_of(rank) < rule.floor:
+            if not self._start(rank, now, rule.level, decisions, place):
                 return
 
     def _grant_borrowed(
-        self, rank: str, now: float, decisions: Decisions
+        self, rank: str, now: float, decisions: Decisions, place: Place
     ) -> None:
         rule = self.rules[rank]
-        ceiling = rule.ceiling * self.capacity
         priority = rule.level + BORROWED_PRIORITY
         while self._total() < self.capacity:
-            if self.used.get(rank, 0) >= ceiling:
+            if self.share_of(rank) >= rule.ceiling and rule.ceiling < 1:
                 return
-            if not self._grant_next(rank, now, priority, decisions):
+            if not self._start(rank, now, priority, decisions, place):
                 return
 
-    def _grant_next(
-        self, rank: str, now: float, priority: int, decisions: Decisions
+    def _start(
+        self,
+        rank: str,
+        now: float,
+        priority: int,
+        decisions: Decisions,
+        place: Place,
     ) -> bool:
         queue = self.queues.get(rank)
         while queue is not None and queue.length:
-            request = queue.pop()
-            if request.start_by < now:
-                decisions.expired.append(request)
-                continue
-            self.used[rank] = self.used.get(rank, 0) + request.slots
-            decisions.granted.append(Grant(request, priority))
-            return True
+            request = queue.peek()
+            placed = Placement.TOO_LATE
+            if request.start_by >= now:
+                placed = place(request, priority)
+            if placed is Placement.WAITS:
+                return False
+            queue.pop()
+            if placed is Placement.STARTED:
+                self._hold(request)
+                decisions.granted.append(Grant(request, priority))
+                return True
+            decisions.expired.append(request)
         return False
 
+    def _hold(self, request: QueuedRequest) -> None:
+        rank = request.rank
+        self.used[rank] = self.used.get(rank, 0) + request.slots
+        tokens = self.prefilling.get(rank, 0) + request.prefill_tokens
+        self.prefilling[rank] = tokens
+
     def _total(self) -> float:
         return sum(self.used.values())
