Guarantee slots by rank from demand and floors

Cause: in a flood of the top rank, shares counted over all engines let ranks below their floor be granted more slots than the engines that decode have, so the least urgent sequences were paused beyond their target.

--- a/cranberryrelay/measure/_policies.py
+++ b/cranberryrelay/measure/_policies.py
@@ -25,6 +25,8 @@
     Sent,
     SuspectBook,
     SuspectCrash,
+    clip_demand,
+    guarantee_slots,
 )
 
 RANKS: Final = (
@@ -118,13 +120,16 @@
         self.reports: dict[str, EngineReport] = {}
         self.usable: list[EngineView] = []
         self.waiting: dict[int, Sequence] = {}
-        self.arrived: list[tuple[float, float, float]] = []
+        self.arrived: list[tuple[float, str, float, float]] = []
+        self.by_rank: dict[str, Demand] = {}
         self.now = float(0)
         self.dispatches: list[Dispatch] = []
 
     def offer(self, sequence: Sequence, now: float) -> bool:
         """Queue a sequence in its rank, unless it is held back."""
-        self.arrived.append((now, sequence.prompt, sequence.output))
+        self.arrived.append(
+            (now, sequence.kind, sequence.prompt, sequence.output)
+        )
         if self.suspects.must_refuse(str(sequence.number), now):
             return False
         return self._queue(sequence)
@@ -134,16 +139,16 @@
         self.now = now
         self.dispatches = []
         slots = sum(self._slots_of(one) for one in self.usable)
-        rates = sum(self.chooser.estimate(one, now).rate for one in self.usable)
-        self.limiter.configure(RANKS, slots, rates * PACE_SECONDS)
+        guaranteed = guarantee_slots(
+            self.by_rank, RANKS, len(self.usable), slots, self.rates
+        )
+        self.limiter.configure(RANKS, slots, guaranteed)
         decisions = self.limiter.decide(now, self._place)
         refused = [self.waiting.pop(one.ask) for one in decisions.expired]
         return Decided(self.dispatches, refused)
 
     def prefilled(self, sequence: Sequence, engine: str) -> None:
-        """Give back the prompt; the slot is held to the end."""
-        rank = self.kinds[sequence.kind].rank
-        self.limiter.release_prefill(rank, sequence.prompt)
+        """Count the sequence where it stays to be decoded."""
         if self._role_of(engine) == MIXED:
             self.chooser.record_running(engine, self.now, 1)
 
@@ -166,8 +171,6 @@
         """Count the crash; run again what is not held back."""
         rank = self.kinds[sequence.kind].rank
         self.limiter.release(rank, 1)
-        if sequence.first_token_at < 0:
-            self.limiter.release_prefill(rank, sequence.prompt)
         name = str(sequence.number)
         attempt = f'{name}.{sequence.arrived_at}.{sequence.attempts}'
         self.suspects.record(SuspectCrash(name, attempt, False), now)
@@ -184,13 +187,23 @@
         """Plan roles for the demand of the last seconds."""
         since = now - DEMAND_SECONDS
         self.arrived = [one for one in self.arrived if one[0] > since]
-        prefill = sum(one[1] for one in self.arrived) / DEMAND_SECONDS
-        decode = sum(one[2] for one in self.arrived) / DEMAND_SECONDS
+        asked: dict[str, dict[str, float]] = {}
+        for _, kind, prompt, output in self.arrived:
+            totals = asked.setdefault(
+                self.kinds[kind].rank, {'prefill': 0, 'decode': 0}
+            )
+            totals['prefill'] += prompt / DEMAND_SECONDS
+            totals['decode'] += output / DEMAND_SECONDS
         for waiting in self.waiting.values():
-            seconds = self.kinds[waiting.kind].first_token_seconds
-            prefill += waiting.prompt / seconds
-            decode += waiting.output / seconds
-        demand = Demand(prefill, decode)
+            kept = self.kinds[waiting.kind]
+            totals = asked.setdefault(kept.rank, {'prefill': 0, 'decode': 0})
+            totals['prefill'] += waiting.prompt / kept.first_token_seconds
+            totals['decode'] += waiting.output / kept.first_token_seconds
+        self.by_rank = {
+            rank: Demand(totals['prefill'], totals['decode'])
+            for rank, totals in asked.items()
+        }
+        demand = clip_demand(self.by_rank, RANKS, len(roles), self.rates)
         self.planner.observe(demand)
         return self.planner.plan(roles, {}, now)
 
@@ -237,7 +250,6 @@
             weight=1,
             slots=1,
             start_by=start_by,
-            prefill_tokens=sequence.prompt,
         )
         taken = self.limiter.offer(request)
         if taken:
--- a/cranberryrelay/measure/_policy_run.py
+++ b/cranberryrelay/measure/_policy_run.py
@@ -10,6 +10,7 @@
     ModelEngine,
     Sequence,
 )
+from cranberryrelay.measure._oracle import engine_seconds
 from cranberryrelay.measure._policies import Dispatch, EngineReport, Policy
 from cranberryrelay.measure._workload import (
     Scenario,
@@ -47,6 +48,12 @@
     # Requests refused before they ran.
     refused: int
 
+    # Engine seconds that its requests ask for.
+    asked_seconds: float
+
+    # Engine seconds of what was answered within target.
+    useful_seconds: float
+
     # Times to the first token of what was answered, in seconds, sorted.
     first_token: list[float]
 
@@ -84,6 +91,7 @@
         self.policy = policy
         self.workload = workload
         self.scenario = scenario
+        self.rates = rates
         self.engines = {
             f'engine-{number:04}': ModelEngine(f'engine-{number:04}', rates)
             for number in range(engines)
@@ -242,6 +250,14 @@
             arrived=len(everything),
             within_target=sum(1 for one in answered if self._is_good(one)),
             refused=sum(1 for one in everything if one.refused),
+            asked_seconds=sum(
+                engine_seconds(one, self.rates) for one in everything
+            ),
+            useful_seconds=sum(
+                engine_seconds(one, self.rates)
+                for one in answered
+                if self._is_good(one)
+            ),
             first_token=sorted(
                 one.first_token_at - one.arrived_at for one in answered
             ),
--- a/cranberryrelay/policy/__init__.py
+++ b/cranberryrelay/policy/__init__.py
@@ -48,10 +48,12 @@
     BUDGET_WINDOW_SECONDS as BUDGET_WINDOW_SECONDS,
 )
 from cranberryrelay.policy._roles import DEFAULT_BUDGET as DEFAULT_BUDGET
-from cranberryrelay.policy._roles import BACKLOG_SECONDS as BACKLOG_SECONDS
 from cranberryrelay.policy._roles import HEADROOM as HEADROOM
 from cranberryrelay.policy._roles import Demand as Demand
 from cranberryrelay.policy._roles import RolePlanner as RolePlanner
+from cranberryrelay.policy._roles import clip_demand as clip_demand
+from cranberryrelay.policy._roles import guarantee_slots as guarantee_slots
+from cranberryrelay.policy._roles import engines_worth as engines_worth
 from cranberryrelay.policy._suspects import (
     CRASHES_TO_REFUSE as CRASHES_TO_REFUSE,
 )
--- a/cranberryrelay/policy/_limiter.py
+++ b/cranberryrelay/policy/_limiter.py
@@ -1,10 +1,9 @@
 """Ranks: floors that hold in any flood, idle shares lent, fair callers.
 
-Capacity is counted in slots, which a request holds to its end, and in prompt
-tokens, which it holds until it is prefilled; a rank's share is the larger of
-its two.  A rank below its floor is always granted, even over the capacity,
+Capacity is counted in slots, which a request holds to its end.  A rank that
+uses less than its guaranteed slots is granted more even over the capacity,
 because engines honour priority and pause work that was granted on borrowed
-capacity.  What is left goes to the most urgent rank
+slots.  What is left goes to the most urgent rank
 first, on borrowed slots.  Callers of one rank are served by weighted fair
 queueing.
 """
@@ -40,9 +39,6 @@
     # Latest useful start, in seconds on the own clock.
     start_by: float
 
-    # Prompt tokens that are to be prefilled.
-    prefill_tokens: float = 0
-
 
 class Grant(NamedTuple):
     """A request that may start."""
@@ -139,26 +135,28 @@
         self.rules: Mapping[str, RankRule] = {}
         self.order: list[str] = []
         self.capacity = float(0)
-        self.prefill_capacity = float(0)
+        self.guaranteed: dict[str, float] = {}
         self.used: dict[str, float] = {}
-        self.prefilling: dict[str, float] = {}
         self.queues: dict[str, FairQueue] = {}
 
     def configure(
         self,
         rules: Iterable[RankRule],
         capacity: float,
-        prefill_capacity: float = 0,
+        guaranteed: Mapping[str, float] | None = None,
     ) -> None:
-        """Take the ranks in force and the capacity.
+        """Take the ranks in force and the capacity in slots.
 
-        ``capacity`` is in slots, ``prefill_capacity`` in prompt tokens
-        that may wait at the engines; 0 leaves these out of the shares.
+        ``guaranteed`` gives slots by rank; a rank that it does not name
+        has its floor of the capacity.
         """
         self.rules = {rule.name: rule for rule in rules}
         self.order = sorted(self.rules, key=lambda name: self.rules[name].level)
         self.capacity = capacity
-        self.prefill_capacity = prefill_capacity
+        self.guaranteed = {
+            rule.name: rule.floor * capacity for rule in self.rules.values()
+        }
+        self.guaranteed.update(guaranteed or {})
 
     def offer(self, request: QueuedRequest) -> bool:
         """Queue a request; False when the rank's queue is full."""
@@ -173,19 +171,6 @@
         """Give back the slots of a request that ended."""
         self.used[rank] = max(self.used.get(rank, 0) - slots, 0)
 
-    def release_prefill(self, rank: str, tokens: float) -> None:
-        """Give back the prompt tokens of a request that is prefilled."""
-        left = self.prefilling.get(rank, 0) - tokens
-        self.prefilling[rank] = max(left, 0)
-
-    def share_of(self, rank: str) -> float:
-        """Return the larger of a rank's shares of slots and of prefill."""
-        slots = self.used.get(rank, 0) / self.capacity if self.capacity else 1
-        if not self.prefill_capacity:
-            return slots
-        tokens = self.prefilling.get(rank, 0) / self.prefill_capacity
-        return max(slots, tokens)
-
     def decide(self, now: float, place: Place = place_anywhere) -> Decisions:
         """Grant what may start now and drop what comes too late.
 
@@ -203,7 +188,7 @@
         self, rank: str, now: float, decisions: Decisions, place: Place
     ) -> None:
         rule = self.rules[rank]
-        while self.share_of(rank) < rule.floor:
+        while self.used.get(rank, 0) < self.guaranteed[rank]:
             if not self._start(rank, now, rule.level, decisions, place):
                 return
 
@@ -211,9 +196,10 @@
         self, rank: str, now: float, decisions: Decisions, place: Place
     ) -> None:
         rule = self.rules[rank]
+        ceiling = rule.ceiling * self.capacity
         priority = rule.level + BORROWED_PRIORITY
         while self._total() < self.capacity:
-            if self.share_of(rank) >= rule.ceiling and rule.ceiling < 1:
+            if self.used.get(rank, 0) >= ceiling:
                 return
             if not self._start(rank, now, priority, decisions, place):
                 return
@@ -236,17 +222,11 @@
                 return False
             queue.pop()
             if placed is Placement.STARTED:
-                self._hold(request)
+                self.used[rank] = self.used.get(rank, 0) + request.slots
                 decisions.granted.append(Grant(request, priority))
                 return True
             decisions.expired.append(request)
         return False
 
-    def _hold(self, request: QueuedRequest) -> None:
-        rank = request.rank
-        self.used[rank] = self.used.get(rank, 0) + request.slots
-        tokens = self.prefilling.get(rank, 0) + request.prefill_tokens
-        self.prefilling[rank] = tokens
-
     def _total(self) -> float:
         return sum(self.used.values())
--- a/cranberryrelay/policy/_roles.py
+++ b/cranberryrelay/policy/_roles.py
@@ -8,9 +8,10 @@
 """
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any, Final, NamedTuple
 
+from cranberryrelay.notes import RankRule
 from cranberryrelay.policy._choice import (
     BETWEEN_TOKENS_SECONDS,
     PREFILL,
@@ -24,7 +25,6 @@
 LEAST_PAUSE_SECONDS: Final = 2.0
 BUDGET_WINDOW_SECONDS: Final = 600.0
 DEFAULT_BUDGET: Final = 40
-BACKLOG_SECONDS: Final = 10.0
 HEADROOM: Final = 1.1
 
 
@@ -37,12 +37,6 @@
     # Output tokens that are asked for in a second.
     decode_tokens_per_second: float
 
-    # Prompt tokens that wait.
-    prefill_backlog: float = 0
-
-    # Sequences that wait to be decoded.
-    decode_backlog: float = 0
-
 
 class RolePlanner:
     """Plans the roles of one cell; one task owns it."""
@@ -86,10 +80,7 @@
     def score(self, prefill: int, engines: int) -> float:
         """Return the part of the demand that a split can serve, 0 to 1."""
         demand = self.demand or Demand(0, 0)
-        wanted_prefill = (
-            demand.prefill_tokens_per_second
-            + demand.prefill_backlog / BACKLOG_SECONDS
-        ) * HEADROOM
+        wanted_prefill = demand.prefill_tokens_per_second * HEADROOM
         wanted_decode = demand.decode_tokens_per_second * HEADROOM
         mixed = engines - prefill
         decode = mixed * self.decode_rate()
@@ -143,5 +134,80 @@
         return now - last >= LEAST_PAUSE_SECONDS
 
 
+def clip_demand(
+    by_rank: Mapping[str, Demand],
+    rules: Iterable[RankRule],
+    engines: float,
+    rates: EngineRates,
+) -> Demand:
+    """Sum the part of the ranks' demand that their entitlements cover.
+
+    Each rank gets its floor of the engines if it asks for as much; what is
+    left goes to the most urgent rank first.  In a flood the sum keeps the
+    mix that will be served, not the mix that is asked for.
+    """
+    ordered = sorted(rules, key=lambda rule: rule.level)
+    wanted = {
+        rule.name: engines_worth(by_rank.get(rule.name), rates)
+        for rule in ordered
+    }
+    given = {
+        rule.name: min(wanted[rule.name], rule.floor * engines)
+        for rule in ordered
+    }
+    left = engines - sum(given.values())
+    for rule in ordered:
+        more = min(wanted[rule.name] - given[rule.name], max(left, 0))
+        given[rule.name] += more
+        left -= more
+    prefill = float(0)
+    decode = float(0)
+    for name, demand in by_rank.items():
+        part = given[name] / wanted[name] if wanted[name] else 0
+        prefill += part * demand.prefill_tokens_per_second
+        decode += part * demand.decode_tokens_per_second
+    return Demand(prefill, decode)
+
+
+def guarantee_slots(
+    by_rank: Mapping[str, Demand],
+    rules: Iterable[RankRule],
+    engines: float,
+    slots: float,
+    rates: EngineRates,
+) -> dict[str, float]:
+    """Return the slots that each rank is sure of, by rank.
+
+    A rank is sure of what its demand needs, up to its floor of the engines;
+    the slots that are left go to the ranks in the proportion of their
+    floors, so that a rank's work finds room before its demand is known.
+    """
+    kept = list(rules)
+    step = rates.step_seconds + rates.step_seconds_per_sequence * rates.slots
+    sure: dict[str, float] = {}
+    for rule in kept:
+        demand = by_rank.get(rule.name, Demand(0, 0))
+        worth = engines_worth(demand, rates)
+        part = min(rule.floor * engines / worth, 1) if worth else 0
+        sure[rule.name] = part * demand.decode_tokens_per_second * step
+    total = sum(sure.values())
+    if total > slots:
+        return {name: one * slots / total for name, one in sure.items()}
+    floors = sum(rule.floor for rule in kept) or 1
+    return {
+        rule.name: sure[rule.name] + (slots - total) * rule.floor / floors
+        for rule in kept
+    }
+
+
+def engines_worth(demand: Demand | None, rates: EngineRates) -> float:
+    """Return how many engines a demand would keep busy at best."""
+    if demand is None:
+        return 0
+    step = rates.step_seconds + rates.step_seconds_per_sequence * rates.slots
+    prefill = demand.prefill_tokens_per_second / rates.prefill_tokens_per_second
+    return prefill + demand.decode_tokens_per_second * step / rates.slots
+
+
 def _part(offered: float, wanted: float) -> float:
     return min(offered / wanted, 1) if wanted else 1
