Keep more headroom for decoding than for prefill

Cause: in a flood of the bottom rank the planner moved between four and five prefill engines with the noise of the demand, and two decoding engines held 50 to 60 sequences for 48 slots: late tokens. A lack of decoding breaks the target at once, a lack of prefill only queues.

--- a/cranberryrelay/policy/__init__.py
+++ b/cranberryrelay/policy/__init__.py
@@ -48,7 +48,8 @@
     BUDGET_WINDOW_SECONDS as BUDGET_WINDOW_SECONDS,
 )
 from cranberryrelay.policy._roles import DEFAULT_BUDGET as DEFAULT_BUDGET
-from cranberryrelay.policy._roles import HEADROOM as HEADROOM
+from cranberryrelay.policy._roles import PREFILL_HEADROOM as PREFILL_HEADROOM
+from cranberryrelay.policy._roles import DECODE_HEADROOM as DECODE_HEADROOM
 from cranberryrelay.policy._roles import Demand as Demand
 from cranberryrelay.policy._roles import RolePlanner as RolePlanner
 from cranberryrelay.policy._roles import clip_demand as clip_demand
--- a/cranberryrelay/policy/_roles.py
+++ b/cranberryrelay/policy/_roles.py
@@ -25,7 +25,8 @@
 LEAST_PAUSE_SECONDS: Final = 2.0
 BUDGET_WINDOW_SECONDS: Final = 600.0
 DEFAULT_BUDGET: Final = 40
-HEADROOM: Final = 1.1
+PREFILL_HEADROOM: Final = 1.05
+DECODE_HEADROOM: Final = 1.3
 
 
 class Demand(NamedTuple):
@@ -80,8 +81,8 @@
     def score(self, prefill: int, engines: int) -> float:
         """Return the part of the demand that a split can serve, 0 to 1."""
         demand = self.demand or Demand(0, 0)
-        wanted_prefill = demand.prefill_tokens_per_second * HEADROOM
-        wanted_decode = demand.decode_tokens_per_second * HEADROOM
+        wanted_prefill = demand.prefill_tokens_per_second * PREFILL_HEADROOM
+        wanted_decode = demand.decode_tokens_per_second * DECODE_HEADROOM
         mixed = engines - prefill
         decode = mixed * self.decode_rate()
         busy = min(wanted_decode / decode, 1) if decode else 1
