--- a/cranberryrelay/agreement/_ledger.py
+++ b/cranberryrelay/agreement/_ledger.py
@@ -27,6 +27,7 @@
 
 PARTITION_COUNT: Final = 8
 BATCH_LIMIT: Final = 512
+GROUP_SECONDS: Final = 0.05
 OUTCOME_BYTES_LIMIT: Final = 4096
 _PLACE_DIGITS: Final = 10
 _HEX_BASE: Final = 16
@@ -184,6 +185,7 @@
         self.writing: tuple[Waiting, ...] = ()
         self.abandoned: dict[str, str] = {}
         self.unsure = False
+        self.written_at = float('-inf')
 
     def on_tick(self, now: float) -> list[Effect]:
         """Read on, or write the batch that has gathered."""
@@ -191,7 +193,9 @@
             return []
         if not self.caught_up:
             return self._read()
-        return self._write()
+        if now - self.written_at < GROUP_SECONDS:
+            return []
+        return self._write(now)
 
     def receive(self, sender: str, message: Any, now: float) -> list[Effect]:
         """Take in a reservation or an outcome."""
@@ -215,7 +219,7 @@
         self.busy = True
         return [StoreRead(ledger_key(self.partition, self.place))]
 
-    def _write(self) -> list[Effect]:
+    def _write(self, now: float) -> list[Effect]:
         effects = self._answer_known()
         batch = tuple(self.waiting[:BATCH_LIMIT])
         self.waiting = self.waiting[BATCH_LIMIT:]
@@ -229,6 +233,7 @@
         if not (batch or releases):
             return effects
         self.writing = batch
+        self.written_at = now
         self.attempts += 1
         self.busy = True
         entries = tuple(_as_entry(one.message) for one in batch)
