Derive orders of instances once for each list; amend the typed view

Cause: every step worked out watchers, parents and scopes from the whole list, and every change built the typed view of all records anew.

--- a/cranberryrelay/agreement/__init__.py
+++ b/cranberryrelay/agreement/__init__.py
@@ -134,9 +134,9 @@
 )
 from cranberryrelay.agreement._follower import TAIL_LENGTH as TAIL_LENGTH
 from cranberryrelay.agreement._follower import Follower as Follower
-from cranberryrelay.agreement._follower import digest_members as digest_members
 from cranberryrelay.agreement._follower import follow as follow
 from cranberryrelay.agreement._ledger import BATCH_LIMIT as BATCH_LIMIT
+from cranberryrelay.agreement._ledger import GROUP_SECONDS as GROUP_SECONDS
 from cranberryrelay.agreement._ledger import NOT_RUN_OUTCOME as NOT_RUN_OUTCOME
 from cranberryrelay.agreement._ledger import (
     OUTCOME_BYTES_LIMIT as OUTCOME_BYTES_LIMIT,
@@ -169,12 +169,14 @@
 from cranberryrelay.agreement._membership import (
     WATCHERS_PER_DOMAIN as WATCHERS_PER_DOMAIN,
 )
-from cranberryrelay.agreement._membership import Members as Members
-from cranberryrelay.agreement._membership import find_watchers as find_watchers
-from cranberryrelay.agreement._membership import list_parents as list_parents
+from cranberryrelay.agreement._membership import (
+    MembershipIndex as MembershipIndex,
+)
+from cranberryrelay.agreement._membership import (
+    digest_members as digest_members,
+)
 from cranberryrelay.agreement._membership import order_domain as order_domain
 from cranberryrelay.agreement._membership import rank_by_hash as rank_by_hash
-from cranberryrelay.agreement._membership import scope_members as scope_members
 from cranberryrelay.agreement._plan_relay import (
     CANDIDATES_PER_CELL as CANDIDATES_PER_CELL,
 )
@@ -224,6 +226,7 @@
 from cranberryrelay.agreement._spread import (
     LIST_READ_SECONDS as LIST_READ_SECONDS,
 )
+from cranberryrelay.agreement._spread import PIECE_BYTES as PIECE_BYTES
 from cranberryrelay.agreement._spread import (
     RECORDS_PER_PUSH as RECORDS_PER_PUSH,
 )
@@ -232,9 +235,6 @@
 )
 from cranberryrelay.agreement._spread import Child as Child
 from cranberryrelay.agreement._spread import SpreadPart as SpreadPart
-from cranberryrelay.agreement._spread import (
-    find_partition_owner as find_partition_owner,
-)
 from cranberryrelay.agreement._spread import spread as spread
 from cranberryrelay.agreement._spread import take_answer as take_answer
 from cranberryrelay.agreement._spread_messages import AskVoice as AskVoice
--- a/cranberryrelay/agreement/_follower.py
+++ b/cranberryrelay/agreement/_follower.py
@@ -9,7 +9,10 @@
 
 from cranberryrelay.agreement._effects import Effect, SendPeer
 from cranberryrelay.agreement._evidence import Evidence, EvidenceBook
-from cranberryrelay.agreement._membership import list_parents
+from cranberryrelay.agreement._membership import (
+    MembershipIndex,
+    digest_members,
+)
 from cranberryrelay.agreement._spread_messages import (
     ChangesPush,
     EvidencePush,
@@ -19,9 +22,13 @@
 )
 from cranberryrelay.notes import (
     FoldedNotes,
+    NotesInForce,
+    RecordChange,
     RevisionRecord,
-    digest_text,
+    amend_view,
+    decode_snapshot,
     restore_snapshot,
+    view_records,
 )
 from cranberryrelay.platform import ListedInstance
 
@@ -38,7 +45,7 @@
         self, me: ListedInstance, seeds: tuple[ListedInstance, ...]
     ) -> None:
         self.me = me
-        self.members = seeds
+        self.members = MembershipIndex(seeds)
         self.members_digest = ''
         self.folded = FoldedNotes()
         self.tail: deque[RevisionRecord] = deque(maxlen=TAIL_LENGTH)
@@ -50,6 +57,10 @@
         self.subscribed_at = float('-inf')
         self.fed_at = float('-inf')
         self.rejected = 0
+        self.changed: list[RecordChange] = []
+        self.replaced = True
+        self.pieces: dict[int, bytes] = {}
+        self.pieces_of = 0
 
     def on_tick(
         self, now: float, parents: list[str] | None = None
@@ -60,7 +71,7 @@
         """
         if now - self.subscribed_at < SUBSCRIBE_SECONDS:
             return []
-        self.parents = parents or list_parents(self.members, self.me)
+        self.parents = parents or self.members.list_parents(self.me)
         if not self.parents:
             return []
         if now - self.fed_at > PARENT_SILENCE_SECONDS:
@@ -80,11 +91,14 @@
                 continue
             if record.revision != self.folded.revision + 1:
                 return
-            if self.folded.apply(record).is_err():
+            applied = self.folded.apply(record)
+            if applied.is_err():
                 self.rejected += 1
                 self.folded = FoldedNotes()
+                self.replaced = True
                 self.tail.clear()
                 return
+            self.changed.extend(applied.unwrap())
             self.tail.append(record)
 
     def adopt(
@@ -93,8 +107,36 @@
         """Take over folded notes if they are newer than the own ones."""
         if folded.revision > self.folded.revision:
             self.folded = folded
+            self.replaced = True
             self.tail = deque(tail, maxlen=TAIL_LENGTH)
 
+    def renew_view(self, view: NotesInForce | None) -> NotesInForce:
+        """Return the typed view of what is applied, amended if it can be."""
+        changes = self.changed
+        self.changed = []
+        if view is None or self.replaced:
+            self.replaced = False
+            return view_records(self.folded.revision, self.folded.records)
+        if view.revision == self.folded.revision:
+            return view
+        return amend_view(view, self.folded.revision, changes)
+
+    def take_piece(self, message: SnapshotPush) -> None:
+        """Keep a piece of a snapshot; adopt it once it is whole."""
+        if message.revision != self.pieces_of:
+            self.pieces = {}
+            self.pieces_of = message.revision
+        self.pieces[message.piece] = message.body
+        if len(self.pieces) < message.pieces:
+            return
+        body = b''.join(self.pieces[one] for one in sorted(self.pieces))
+        self.pieces = {}
+        restored = decode_snapshot(body).and_then(restore_snapshot)
+        if restored.is_ok():
+            self.adopt(restored.unwrap())
+        else:
+            self.rejected += 1
+
     def _subscribe(self, now: float) -> SendPeer:
         self.subscribed_at = now
         self.nonce += 1
@@ -134,19 +176,10 @@
 
 @follow.register
 def _(message: SnapshotPush, follower: Follower, now: float) -> None:
-    restored = restore_snapshot(message.snapshot)
-    if restored.is_ok():
-        follower.adopt(restored.unwrap())
-    else:
-        follower.rejected += 1
+    follower.take_piece(message)
 
 
 @follow.register
 def _(message: MembersPush, follower: Follower, now: float) -> None:
-    follower.members = message.instances
+    follower.members = MembershipIndex(message.instances)
     follower.members_digest = digest_members(message.instances)
-
-
-def digest_members(instances: tuple[ListedInstance, ...]) -> str:
-    """Digest a list of instances, to tell whether a child has it."""
-    return digest_text('\n'.join(map(repr, instances)))
--- a/cranberryrelay/agreement/_plan_relay.py
+++ b/cranberryrelay/agreement/_plan_relay.py
@@ -10,7 +10,7 @@
     PlanView,
 )
 from cranberryrelay.agreement._effects import Effect, SendPeer
-from cranberryrelay.agreement._membership import rank_by_hash
+from cranberryrelay.agreement._membership import MembershipIndex
 
 CANDIDATES_PER_CELL: Final = 3
 SUBSCRIBE_PLAN_SECONDS: Final = 1.0
@@ -33,9 +33,9 @@
     heard_at: float = _NEVER
 
 
-def find_candidates(instances: list[str], cell: str) -> list[str]:
+def find_candidates(members: MembershipIndex, cell: str) -> list[str]:
     """Name the instances that may hold a cell, the preferred one first."""
-    return rank_by_hash(instances, cell)[:CANDIDATES_PER_CELL]
+    return members.rank_staying(cell)[:CANDIDATES_PER_CELL]
 
 
 def entry_of(instance: str) -> str:
@@ -59,7 +59,7 @@
         self.subscribed_at = _NEVER
 
     def on_tick(
-        self, now: float, instances: list[str], quiet: frozenset[str]
+        self, now: float, members: MembershipIndex, quiet: frozenset[str]
     ) -> list[Effect]:
         """Subscribe again; ``quiet`` names cells without own orders out."""
         if now - self.subscribed_at < SUBSCRIBE_PLAN_SECONDS:
@@ -69,7 +69,7 @@
         self.attempt += 1
         return [
             SendPeer(
-                self._target(cell, followed, now, instances),
+                self._target(cell, followed, now, members),
                 PlanSubscribe(cell, self.nonce, cell in quiet),
             )
             for cell, followed in self.followed.items()
@@ -92,12 +92,12 @@
         cell: str,
         followed: Followed,
         now: float,
-        instances: list[str],
+        members: MembershipIndex,
     ) -> str:
         silent = now - followed.heard_at > HOLDER_SILENCE_SECONDS
         if followed.holder and not silent:
             return followed.holder
-        candidates = find_candidates(instances, cell) or [self.me]
+        candidates = find_candidates(members, cell) or [self.me]
         return candidates[self.attempt % len(candidates)]
 
 
--- a/cranberryrelay/agreement/_spread.py
+++ b/cranberryrelay/agreement/_spread.py
@@ -25,13 +25,10 @@
     VoiceHeard,
     combine_voices,
 )
-from cranberryrelay.agreement._follower import Follower, digest_members
+from cranberryrelay.agreement._follower import Follower
 from cranberryrelay.agreement._membership import (
     CONTACTS_PER_DOMAIN,
-    find_watchers,
-    order_domain,
-    rank_by_hash,
-    scope_members,
+    MembershipIndex,
 )
 from cranberryrelay.agreement._spread_messages import (
     AskVoice,
@@ -48,7 +45,11 @@
     VoicePart,
 )
 from cranberryrelay.codes import ResultCode
-from cranberryrelay.notes import decode_revision, take_snapshot
+from cranberryrelay.notes import (
+    decode_revision,
+    encode_snapshot,
+    take_snapshot,
+)
 from cranberryrelay.platform import ENTRY_SORT, ListedInstance
 
 HEAD_KEY: Final = 'notes/head'
@@ -58,6 +59,7 @@
 STORE_SILENCE_SECONDS: Final = 0.8
 CHILD_SILENCE_SECONDS: Final = 3.0
 RECORDS_PER_PUSH: Final = 64
+PIECE_BYTES: Final = 250_000
 _NEVER: Final = float('-inf')
 _NONCES_KEPT: Final = 8
 
@@ -99,7 +101,7 @@
         self.voice = VoicePart(me)
         self.absence = AbsenceClock()
         self.children: dict[str, Child] = {}
-        self.everyone: tuple[ListedInstance, ...] = seeds
+        self.everyone = MembershipIndex(seeds)
         self.head_read_at = _NEVER
         self.head_heard_at = _NEVER
         self.list_read_at = _NEVER
@@ -116,7 +118,7 @@
 
     def is_watcher(self) -> bool:
         """Tell if this instance reads the store for its domain."""
-        watchers = find_watchers(self.follower.members, self.me.listed.domain)
+        watchers = self.follower.members.find_watchers(self.me.listed.domain)
         return self.me.listed.instance in watchers
 
     def on_tick(self, now: float) -> list[Effect]:
@@ -167,8 +169,9 @@
 
     def find_parent_address(self, instance: str) -> str | None:
         """Return the address of an instance, if it is known."""
-        for listed in (*self.follower.members, *self.everyone):
-            if listed.instance == instance:
+        for index in (self.follower.members, self.everyone):
+            listed = index.by_name.get(instance)
+            if listed is not None:
                 return listed.address
         return None
 
@@ -183,11 +186,13 @@
     ) -> list[Effect]:
         effects: list[Effect] = []
         if child.revision < self.applied:
-            effects.append(SendPeer(name, self._changes_for(child)))
+            effects.extend(
+                SendPeer(name, message) for message in self._lacking(child)
+            )
             child = child._replace(revision=self.applied)
-        scoped = scope_members(self.everyone, child.domain)
-        digest = digest_members(scoped)
-        if child.members != digest and self.everyone:
+        digest = self.everyone.scope_digest(child.domain)
+        if child.members != digest:
+            scoped = self.everyone.scope(child.domain)
             effects.append(SendPeer(name, MembersPush(scoped)))
             child = child._replace(members=digest)
         if evidence is not None and evidence.sent_at > child.evidence_at:
@@ -198,7 +203,7 @@
         self.children[name] = child
         return effects
 
-    def _changes_for(self, child: Child) -> ChangesPush | SnapshotPush:
+    def _lacking(self, child: Child) -> list[ChangesPush | SnapshotPush]:
         lacking = tuple(
             record
             for record in self.follower.tail
@@ -206,14 +211,22 @@
         )
         complete = lacking and lacking[0].revision == child.revision + 1
         if complete and len(lacking) <= RECORDS_PER_PUSH:
-            return ChangesPush(lacking)
-        return SnapshotPush(take_snapshot(self.follower.folded))
+            return [ChangesPush(lacking)]
+        body = encode_snapshot(take_snapshot(self.follower.folded))
+        starts = range(0, len(body), PIECE_BYTES)
+        return [
+            SnapshotPush(
+                self.applied,
+                place,
+                len(starts),
+                body[start : start + PIECE_BYTES],
+            )
+            for place, start in enumerate(starts)
+        ]
 
     def _is_listed(self) -> bool:
-        domain = self.me.listed.domain
-        return self.me.listed.instance in order_domain(
-            self.follower.members, domain
-        )
+        order = self.follower.members.order_domain(self.me.listed.domain)
+        return self.me.listed.instance in order
 
     def _store_is_silent(self, now: float) -> bool:
         return now - self.head_heard_at > STORE_SILENCE_SECONDS
@@ -237,7 +250,7 @@
         self.asked_by_nonce.pop(self.ask_nonce - _NONCES_KEPT, None)
         names: list[str] = []
         for domain in self.domains:
-            contacts = order_domain(self.everyone, domain)
+            contacts = self.everyone.order_domain(domain)
             names.extend(contacts[:CONTACTS_PER_DOMAIN])
         return [
             SendPeer(name, AskVoice(self.ask_nonce))
@@ -262,7 +275,7 @@
     """Take in a message; what is not from a child is from a parent."""
     part.follower.receive(message, now)
     if isinstance(message, MembersPush):
-        part.everyone = message.instances
+        part.everyone = part.follower.members
     return []
 
 
@@ -342,8 +355,10 @@
     instances = tuple(answer.outcome.unwrap())
     part.absence.record(instances, answer.sent_at)
     entries = tuple(one for one in instances if one.sort == ENTRY_SORT)
-    part.everyone = entries
-    part.follower.members = scope_members(entries, part.me.listed.domain)
+    if entries != part.everyone.instances:
+        part.everyone = MembershipIndex(entries)
+        scoped = part.everyone.scope(part.me.listed.domain)
+        part.follower.members = MembershipIndex(scoped)
     return []
 
 
@@ -373,11 +388,3 @@
         part.loading = True
         return [LoadNotes(part.applied)]
     return []
-
-
-def find_partition_owner(
-    instances: tuple[ListedInstance, ...], seed: str
-) -> str | None:
-    """Name the instance that a partition or a cell prefers, if any."""
-    staying = [listed.instance for listed in instances if not listed.leaving]
-    return next(iter(rank_by_hash(staying, seed)), None)
--- a/cranberryrelay/agreement/_spread_messages.py
+++ b/cranberryrelay/agreement/_spread_messages.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cranberryrelay.notes import NotesSnapshot, RevisionRecord
+from cranberryrelay.notes import RevisionRecord
 from cranberryrelay.platform import ListedInstance
 
 
@@ -47,10 +47,17 @@
 
 
 class SnapshotPush(NamedTuple):
-    """A parent gives its child all notes in force."""
+    """A parent gives its child a piece of all notes in force."""
 
-    # The notes in force at the parent.
-    snapshot: NotesSnapshot
+    # Revision that the snapshot stands for.
+    revision: int
+
+    # Place of the piece, from 0, and how many there are.
+    piece: int
+    pieces: int
+
+    # Bytes of the encoded snapshot.
+    body: bytes
 
 
 class MembersPush(NamedTuple):
--- a/cranberryrelay/entry/_core.py
+++ b/cranberryrelay/entry/_core.py
@@ -45,7 +45,7 @@
     Reply,
     SlotGiven,
 )
-from cranberryrelay.notes import NotesInForce, view_records
+from cranberryrelay.notes import NotesInForce
 from cranberryrelay.policy import (
     ATTEMPTS_LIMIT,
     EngineChooser,
@@ -134,9 +134,9 @@
     def on_tick(self, now: float) -> list[Effect | Reply]:
         """Subscribe, report, acknowledge and give up what is late."""
         others = [
-            peer.instance
-            for peer in self.follower.members
-            if peer.instance != self.steward
+            name
+            for name in self.follower.members.by_name
+            if name != self.steward
         ]
         effects: list[Effect | Reply] = list(
             self.follower.on_tick(now, [self.steward, *others])
@@ -180,7 +180,7 @@
         """Return the typed view of the records applied here."""
         folded = self.follower.folded
         if self.notes is None or self.notes.revision != folded.revision:
-            self.notes = view_records(folded.revision, folded.records)
+            self.notes = self.follower.renew_view(self.notes)
             for cell in self.limiters:
                 self.configure_cell(cell)
         return self.notes
@@ -197,7 +197,7 @@
             for one in view.upstreams
             if one.phase is Phase.SERVING and one.load.alive
         )
-        entries = max(len(self.follower.members), 1)
+        entries = max(len(self.follower.members.instances), 1)
         slots = engines * self.settings.engine_slots
         share = min(slots, slots * OVERCOMMIT / entries)
         limiter.configure(notes.ranks.values(), share)
--- a/cranberryrelay/entry/_link.py
+++ b/cranberryrelay/entry/_link.py
@@ -98,10 +98,8 @@
             self._send(effect)
 
     def _send(self, effect: SendPeer) -> None:
-        address = self.core.settings.me.address
-        for peer in self.core.follower.members:
-            if peer.instance == effect.instance:
-                address = peer.address
+        known = self.core.follower.members.by_name.get(effect.instance)
+        address = (known or self.core.settings.me).address
         self.client.send(effect.instance, address, effect.message)
 
 
--- a/cranberryrelay/measure/_agreement.py
+++ b/cranberryrelay/measure/_agreement.py
@@ -6,13 +6,14 @@
 from cranberryrelay.agreement import (
     EVIDENCE_BOUND_SECONDS,
     PARTITION_COUNT,
+    Effect,
     LedgerPart,
+    ReadDone,
     Reserve,
-    Reserved,
+    SendPeer,
     StoreRead,
     StoreWrite,
     WriteDone,
-    ReadDone,
 )
 from cranberryrelay.notes import NoteAction
 from cranberryrelay.standins import StoreStandIn
@@ -26,6 +27,7 @@
 AMENDMENTS: Final = 20
 CELL: Final = 'newsroom'
 LIMIT_SECONDS: Final = 60.0
+LEDGER_STEP_SECONDS: Final = 0.01
 
 
 class InForceRow(NamedTuple):
@@ -164,48 +166,60 @@
 
     The store takes one step of 10 ms to answer.
     """
-    store = StoreStandIn()
-    part = LedgerPart(0, 'measure')
-    step = 0.01
-    booked: dict[str, float] = {}
-    latencies: list[float] = []
-    pending: list[object] = []
-    rate = calls_per_second / PARTITION_COUNT
-    made = 0
-    for tick in range(round(seconds / step)):
-        now = tick * step
-        effects = []
-        for answer in pending:
-            effects.extend(part.on_answer(answer, now))
-        pending = []
-        while made < rate * now:
-            made += 1
-            name = f'{made:08x}'
-            booked[name] = now
-            reserve = Reserve(name, 'call', name)
-            effects.extend(part.receive('entry', reserve, now))
-        effects.extend(part.on_tick(now))
-        for effect in effects:
-            if isinstance(effect, StoreRead):
-                found = store.read_now(effect.key)
-                pending.append(ReadDone(effect, now, found))
-            elif isinstance(effect, StoreWrite):
-                written = store.write_now(
-                    effect.key, effect.body, effect.expected_version
-                )
-                pending.append(WriteDone(effect, now, written))
-            elif isinstance(effect.message, Reserved):
-                latencies.append(now - booked[effect.message.exchange])
-    ordered = sorted(latencies)
+    bench = LedgerBench(calls_per_second / PARTITION_COUNT)
+    for tick in range(round(seconds / LEDGER_STEP_SECONDS)):
+        bench.step(tick * LEDGER_STEP_SECONDS)
+    ordered = sorted(bench.latencies)
     return LedgerRow(
         calls_per_second,
         round(statistics.median(ordered), 3),
         round(ordered[-1], 3),
-        store.writes * PARTITION_COUNT / seconds,
+        bench.store.writes * PARTITION_COUNT / seconds,
         float(calls_per_second),
     )
 
 
+class LedgerBench:
+    """One partition, a store that answers at the next step, and callers."""
+
+    def __init__(self, rate: float) -> None:
+        self.rate = rate
+        self.store = StoreStandIn()
+        self.part = LedgerPart(0, 'measure')
+        self.booked: dict[str, float] = {}
+        self.latencies: list[float] = []
+        self.pending: list[ReadDone | WriteDone] = []
+
+    def step(self, now: float) -> None:
+        """Let one step of time pass."""
+        effects: list[Effect] = []
+        for answer in self.pending:
+            effects.extend(self.part.on_answer(answer, now))
+        self.pending = []
+        while len(self.booked) < self.rate * now:
+            name = f'{len(self.booked):08x}'
+            self.booked[name] = now
+            reserve = Reserve(name, 'call', name)
+            effects.extend(self.part.receive('entry', reserve, now))
+        effects.extend(self.part.on_tick(now))
+        for effect in effects:
+            self.carry_out(effect, now)
+
+    def carry_out(self, effect: Effect, now: float) -> None:
+        """Carry out a store call or take in a booking."""
+        if isinstance(effect, StoreRead):
+            found = self.store.read_now(effect.key)
+            self.pending.append(ReadDone(effect, now, found))
+        elif isinstance(effect, StoreWrite):
+            written = self.store.write_now(
+                effect.key, effect.body, effect.expected_version
+            )
+            self.pending.append(WriteDone(effect, now, written))
+        elif isinstance(effect, SendPeer):
+            began = self.booked[effect.message.exchange]
+            self.latencies.append(now - began)
+
+
 def measure_agreement() -> str:
     """Run all measurements of the agreement; returns a table."""
     lines = [
--- a/cranberryrelay/measure/_capacity.py
+++ b/cranberryrelay/measure/_capacity.py
@@ -9,6 +9,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import partial
 from statistics import linear_regression
 from typing import Any, Final, NamedTuple
 
@@ -21,6 +22,7 @@
     Booking,
     Outcome,
 )
+from cranberryrelay.measure._policies import RANKS
 from cranberryrelay.notes import (
     FoldedNotes,
     NoteAction,
@@ -39,7 +41,6 @@
     RankLimiter,
     Sent,
 )
-from cranberryrelay.measure._policies import RANKS
 from cranberryrelay.testkit import LocalNetwork, make_command, make_sites
 
 NODES: Final = 3600
@@ -83,21 +84,22 @@
     def projected(self) -> float:
         """Return the line's value at the target size."""
         line = self._line()
-        return line.slope * self.target + line.intercept
+        return float(line.slope * self.target + line.intercept)
 
     @property
     def residual(self) -> float:
         """Return the largest distance of a point from the line."""
         line = self._line()
-        return max(
+        distances = [
             abs(line.slope * point.size + line.intercept - point.value)
             for point in self.points
-        )
+        ]
+        return float(max(distances))
 
     def _line(self) -> Any:
         sizes = [point.size for point in self.points]
-        values = [point.value for point in self.points]
-        return linear_regression(sizes, values)
+        heights = [point.value for point in self.points]
+        return linear_regression(sizes, heights)
 
 
 class StewardCost(NamedTuple):
@@ -180,13 +182,13 @@
         digest.update(records.items())
         change = [('callers.customer-00000', {'token_sha256': ['x']})]
         whole.append(
-            Point(count, time_call(lambda: digest_records(records), 3))
+            Point(count, time_call(partial(digest_records, records), 3))
         )
         kept.append(
-            Point(count, time_call(lambda: _update(digest, change), 200))
+            Point(count, time_call(partial(_update, digest, change), 200))
         )
         view.append(
-            Point(count, time_call(lambda: view_records(1, records), 3))
+            Point(count, time_call(partial(view_records, 1, records), 3))
         )
     target = CUSTOMERS + ENGINES
     return [
--- a/cranberryrelay/measure/_oracle.py
+++ b/cranberryrelay/measure/_oracle.py
@@ -7,7 +7,8 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence as SequenceOf
+from collections.abc import Mapping
+from collections.abc import Sequence as SequenceOf
 
 from cranberryrelay.measure._model import Sequence
 from cranberryrelay.measure._workload import WorkKind
--- a/cranberryrelay/measure/_policies.py
+++ b/cranberryrelay/measure/_policies.py
@@ -5,7 +5,8 @@
 
 import random
 from collections import Counter
-from collections.abc import Mapping, Sequence as SequenceOf
+from collections.abc import Mapping
+from collections.abc import Sequence as SequenceOf
 from typing import Final, NamedTuple, Protocol
 
 from cranberryrelay.measure._model import Sequence
--- a/cranberryrelay/measure/_policy_report.py
+++ b/cranberryrelay/measure/_policy_report.py
@@ -21,8 +21,8 @@
 from cranberryrelay.measure._workload import (
     SCENARIO_FOLDER,
     Scenario,
-    Workload,
     WorkKind,
+    Workload,
     load_workload,
     make_arrivals,
     scenario_seconds,
@@ -165,10 +165,10 @@
 
 
 def _plot_site(site: str, rows: list[PolicyRow]) -> None:
-    import matplotlib  # noqa: PLC0415
+    import matplotlib
 
     matplotlib.use('svg')
-    from matplotlib import pyplot  # noqa: PLC0415
+    from matplotlib import pyplot
 
     figure: Any
     figure, axes = pyplot.subplots(figsize=(10, 5))
--- a/cranberryrelay/measure/_policy_run.py
+++ b/cranberryrelay/measure/_policy_run.py
@@ -6,6 +6,7 @@
 
 from cranberryrelay.measure._model import (
     STEP_SECONDS,
+    TRANSFER_SECONDS_PER_TOKEN,
     Advanced,
     ModelEngine,
     Sequence,
@@ -17,7 +18,6 @@
     Workload,
     scenario_seconds,
 )
-from cranberryrelay.measure._model import TRANSFER_SECONDS_PER_TOKEN
 from cranberryrelay.policy import (
     BETWEEN_TOKENS_SECONDS,
     PREFILL,
--- /dev/null
+++ b/cranberryrelay/measure/_program.py
@@ -0,0 +1,42 @@
+"""The measure program: one command for each group of measurements."""
+
+import sys
+
+import fire
+import trio
+
+from cranberryrelay.measure._agreement import measure_agreement
+from cranberryrelay.measure._capacity import measure_capacity
+from cranberryrelay.measure._overhead import measure_overhead
+from cranberryrelay.measure._policy_report import (
+    format_policy_rows,
+    measure_policies,
+    write_policy_files,
+)
+
+
+class MeasureCommands:
+    """Commands of cranberryrelay-measure."""
+
+    def policy(self, seed: int = 1, scenarios: str = 'policy.toml') -> None:
+        """Compare our policy with baselines; writes measured/."""
+        rows = measure_policies(seed, scenarios)
+        write_policy_files(rows)
+        sys.stdout.write(f'seed {seed}\n{format_policy_rows(rows)}\n')
+
+    def agreement(self) -> None:
+        """Time notes, take-overs and bookings in virtual time."""
+        sys.stdout.write(f'{measure_agreement()}\n')
+
+    def capacity(self) -> None:
+        """Measure slopes and project them to the users' size."""
+        sys.stdout.write(f'{measure_capacity()}\n')
+
+    def overhead(self, requests: int = 200) -> None:
+        """Compare an entry with direct calls of the same engine."""
+        sys.stdout.write(f'{trio.run(measure_overhead, requests)}\n')
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(MeasureCommands)
--- a/cranberryrelay/notes/_in_force.py
+++ b/cranberryrelay/notes/_in_force.py
@@ -1,8 +1,11 @@
 """The typed view of the records in force that the data path works with."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
+from cranberryrelay.notes._folded_notes import RecordChange
+
 DEFAULT_BODY_BYTES: Final = 1_000_000
 DEFAULT_REQUEST_MS: Final = 60_000
 DEFAULT_FIRST_TOKEN_MS: Final = 1300
@@ -133,42 +136,58 @@
     revision: int, records: Mapping[str, Mapping[str, Any]]
 ) -> NotesInForce:
     """Build the typed view of checked records."""
-    limits = records.get('limits.request', {})
-    return NotesInForce(
+    empty = NotesInForce(
         revision=revision,
-        ranks={
-            name: RankRule(name, **fields)
-            for name, fields in select_section(records, 'ranks')
-        },
-        kinds={
-            name: KindRule(name, **fields)
-            for name, fields in select_section(records, 'kinds')
-        },
-        models={
-            name: _view_model(name, fields)
-            for name, fields in select_section(records, 'models')
-        },
-        services={
-            name: _view_service(name, fields)
-            for name, fields in select_section(records, 'services')
-        },
-        callers=_view_callers(records),
-        roles=dict(select_section(records, 'roles')),
-        body_bytes=limits.get('body_bytes', DEFAULT_BODY_BYTES),
-        request_ms=limits.get('request_ms', DEFAULT_REQUEST_MS),
+        ranks={},
+        kinds={},
+        models={},
+        services={},
+        callers={},
+        roles={},
+        body_bytes=DEFAULT_BODY_BYTES,
+        request_ms=DEFAULT_REQUEST_MS,
     )
+    changes = [
+        RecordChange(key, None, dict(records[key])) for key in sorted(records)
+    ]
+    return amend_view(empty, revision, changes)
 
 
-def select_section(
-    records: Mapping[str, Mapping[str, Any]], section: str
-) -> list[tuple[str, Mapping[str, Any]]]:
-    """List the (name, fields) pairs of one section, by name."""
-    prefix = f'{section}.'
-    return [
-        (key.removeprefix(prefix), records[key])
-        for key in sorted(records)
-        if key.startswith(prefix)
-    ]
+def amend_view(
+    view: NotesInForce, revision: int, changes: Iterable[RecordChange]
+) -> NotesInForce:
+    """Build the view after some records have changed.
+
+    Tables that change are copied, so requests that were admitted under the
+    view before keep it.
+    """
+    copied: dict[str, Any] = {'revision': revision}
+    for change in changes:
+        section, _, name = change.key.partition('.')
+        if section == 'limits':
+            copied.update(_view_limits(change.after or {}))
+            continue
+        if section not in copied:
+            copied[section] = dict(getattr(view, section))
+        _amend_table(copied[section], section, name, change)
+    return view._replace(**copied)
+
+
+def _amend_table(
+    table: dict[str, Any], section: str, name: str, change: RecordChange
+) -> None:
+    if section == 'callers':
+        for gone in (change.before or {}).get('token_sha256', ()):
+            table.pop(gone, None)
+        if change.after is not None:
+            caller = _view_caller(name, change.after)
+            tokens = change.after['token_sha256']
+            table.update(dict.fromkeys(tokens, caller))
+        return
+    if change.after is None:
+        table.pop(name, None)
+    else:
+        table[name] = _VIEWS[section](name, change.after)
 
 
 def _view_model(name: str, fields: Mapping[str, Any]) -> ModelRule:
@@ -181,17 +200,43 @@
     return ServiceRule(name, frozenset(fields.get('once', ())), timeout_ms)
 
 
-def _view_callers(
-    records: Mapping[str, Mapping[str, Any]],
-) -> dict[str, CallerRule]:
-    callers: dict[str, CallerRule] = {}
-    for name, fields in select_section(records, 'callers'):
-        caller = CallerRule(
-            name=name,
-            kinds=frozenset(fields.get('kinds', ())),
-            services=frozenset(fields.get('services', ())),
-            weight=fields.get('weight', 1),
-            ranks=fields.get('ranks', {}),
-        )
-        callers.update(dict.fromkeys(fields['token_sha256'], caller))
-    return callers
+def _view_caller(name: str, fields: Mapping[str, Any]) -> CallerRule:
+    return CallerRule(
+        name=name,
+        kinds=frozenset(fields.get('kinds', ())),
+        services=frozenset(fields.get('services', ())),
+        weight=fields.get('weight', 1),
+        ranks=fields.get('ranks', {}),
+    )
+
+
+def _view_limits(fields: Mapping[str, Any]) -> dict[str, int]:
+    return {
+        'body_bytes': fields.get('body_bytes', DEFAULT_BODY_BYTES),
+        'request_ms': fields.get('request_ms', DEFAULT_REQUEST_MS),
+    }
+
+
+def _view_rank(name: str, fields: Mapping[str, Any]) -> RankRule:
+    return RankRule(name, **fields)
+
+
+def _view_kind(name: str, fields: Mapping[str, Any]) -> KindRule:
+    return KindRule(name, **fields)
+
+
+def _view_role(name: str, fields: Mapping[str, Any]) -> Mapping[str, Any]:
+    return fields
+
+
+_VIEWS: Final[Mapping[str, Callable[[str, Mapping[str, Any]], Any]]] = (
+    MappingProxyType(
+        {
+            'models': _view_model,
+            'ranks': _view_rank,
+            'kinds': _view_kind,
+            'services': _view_service,
+            'roles': _view_role,
+        }
+    )
+)
--- a/cranberryrelay/steward/_core.py
+++ b/cranberryrelay/steward/_core.py
@@ -29,11 +29,9 @@
     UpstreamTarget,
     entry_of,
     find_candidates,
-    find_partition_owner,
-    order_domain,
     partition_of,
 )
-from cranberryrelay.notes import NotesInForce, view_records
+from cranberryrelay.notes import NotesInForce
 from cranberryrelay.policy import RolePlanner, SuspectCrash
 from cranberryrelay.settings import Settings
 
@@ -77,9 +75,9 @@
     def on_tick(self, now: float, utc: float) -> list[Effect]:
         """Do whatever is due in all parts."""
         effects = list(self.spread.on_tick(now))
-        instances = self.staying_instances()
+        members = self.spread.everyone
         for cell, part in self.cells.items():
-            candidate = self.name in find_candidates(instances, cell)
+            candidate = self.name in find_candidates(members, cell)
             targets = self._targets_of(cell, part, now)
             effects.extend(
                 part.on_tick(now, candidate=candidate, targets=targets)
@@ -87,7 +85,7 @@
         quiet = frozenset(
             name for name, one in self.cells.items() if one.is_quiet()
         )
-        effects.extend(self.relay.on_tick(now, instances, quiet))
+        effects.extend(self.relay.on_tick(now, members, quiet))
         for ledger in self.ledgers.values():
             effects.extend(ledger.on_tick(now))
         effects.extend(self.account.on_tick(now, utc))
@@ -125,21 +123,12 @@
         pending = bool(self.account.waiting or self.account.writing)
         return not (held or voice.holding or voice.busy or pending)
 
-    def staying_instances(self) -> list[str]:
-        """Name the instances that are not leaving."""
-        return [
-            listed.instance
-            for listed in self.spread.everyone
-            if not listed.leaving
-        ]
-
     def notes_in_force(self) -> NotesInForce | None:
         """Return the typed view of the records applied here."""
         folded = self.spread.follower.folded
         if folded.revision == 0:
             return None
-        if self.view is None or self.view.revision != folded.revision:
-            self.view = view_records(folded.revision, folded.records)
+        self.view = self.spread.follower.renew_view(self.view)
         return self.view
 
     def _make_cell(self, cell: str) -> CellPart:
@@ -226,9 +215,10 @@
     message: Reserve | Settle, core: StewardCore, sender: str, now: float
 ) -> list[Effect]:
     partition = partition_of(message.key)
-    owner = find_partition_owner(core.spread.everyone, f'ledger/{partition}')
-    if core.is_own_entry(sender) and owner not in {None, core.name}:
-        return [SendPeer(str(owner), message, sender)]
+    owners = core.spread.everyone.rank_staying(f'ledger/{partition}')
+    owner = owners[0] if owners else core.name
+    if core.is_own_entry(sender) and owner != core.name:
+        return [SendPeer(owner, message, sender)]
     return core.ledgers[partition].receive(sender, message, now)
 
 
@@ -236,7 +226,7 @@
 def _(
     message: RecordRanges, core: StewardCore, sender: str, now: float
 ) -> list[Effect]:
-    order = order_domain(core.spread.everyone, core.settings.me.domain)
+    order = core.spread.everyone.order_domain(core.settings.me.domain)
     writer = order[0] if order else core.name
     if core.is_own_entry(sender) and writer != core.name:
         return [SendPeer(writer, message, sender)]
@@ -252,7 +242,7 @@
         return [SendPeer(own, message, sender)]
     return [
         SendPeer(instance, message, sender)
-        for instance in core.staying_instances()
+        for instance in core.spread.everyone.staying
         if instance != core.name
     ]
 
