Push a cell's plan by changes; bound the holder's bytes

Cause: the holder of a cell sent its whole plan to every subscriber twice a second, 253 KB/s at 300 instances. It now sends what changed, answers subscriptions with a short message at an interval that grows with their number, and thins load reports out likewise.

--- a/cranberryrelay/agreement/__init__.py
+++ b/cranberryrelay/agreement/__init__.py
@@ -45,6 +45,10 @@
 from cranberryrelay.agreement._archive import read_accepted as read_accepted
 from cranberryrelay.agreement._archive import read_revision as read_revision
 from cranberryrelay.agreement._catalogue import MESSAGE_TYPES as MESSAGE_TYPES
+from cranberryrelay.agreement._cell import ALIVE_BYTES as ALIVE_BYTES
+from cranberryrelay.agreement._cell import (
+    ALIVE_BYTES_PER_SECOND as ALIVE_BYTES_PER_SECOND,
+)
 from cranberryrelay.agreement._cell import (
     CELL_READ_SECONDS as CELL_READ_SECONDS,
 )
@@ -61,6 +65,10 @@
 from cranberryrelay.agreement._cell import (
     LEASE_TTL_SECONDS as LEASE_TTL_SECONDS,
 )
+from cranberryrelay.agreement._cell import LOAD_BYTES as LOAD_BYTES
+from cranberryrelay.agreement._cell import (
+    LOAD_BYTES_PER_SECOND as LOAD_BYTES_PER_SECOND,
+)
 from cranberryrelay.agreement._cell import (
     ORDER_DELIVERY_SECONDS as ORDER_DELIVERY_SECONDS,
 )
@@ -68,7 +76,10 @@
     ORDER_RESEND_SECONDS as ORDER_RESEND_SECONDS,
 )
 from cranberryrelay.agreement._cell import (
-    SUBSCRIBER_SILENCE_SECONDS as SUBSCRIBER_SILENCE_SECONDS,
+    SUBSCRIBE_PLAN_SECONDS as SUBSCRIBE_PLAN_SECONDS,
+)
+from cranberryrelay.agreement._cell import (
+    SUBSCRIBER_SILENCES as SUBSCRIBER_SILENCES,
 )
 from cranberryrelay.agreement._cell import (
     VIEW_PUSH_SECONDS as VIEW_PUSH_SECONDS,
@@ -88,8 +99,11 @@
 from cranberryrelay.agreement._cell import may_start_drain as may_start_drain
 from cranberryrelay.agreement._cell import take_cell_answer as take_cell_answer
 from cranberryrelay.agreement._cell import take_over_cell as take_over_cell
+from cranberryrelay.agreement._cell_messages import NamedLoad as NamedLoad
 from cranberryrelay.agreement._cell_messages import Phase as Phase
 from cranberryrelay.agreement._cell_messages import PlanAck as PlanAck
+from cranberryrelay.agreement._cell_messages import PlanAlive as PlanAlive
+from cranberryrelay.agreement._cell_messages import PlanLoads as PlanLoads
 from cranberryrelay.agreement._cell_messages import PlanRedirect as PlanRedirect
 from cranberryrelay.agreement._cell_messages import (
     PlanSubscribe as PlanSubscribe,
@@ -182,10 +196,7 @@
 )
 from cranberryrelay.agreement._plan_relay import ENTRY_SUFFIX as ENTRY_SUFFIX
 from cranberryrelay.agreement._plan_relay import (
-    HOLDER_SILENCE_SECONDS as HOLDER_SILENCE_SECONDS,
-)
-from cranberryrelay.agreement._plan_relay import (
-    SUBSCRIBE_PLAN_SECONDS as SUBSCRIBE_PLAN_SECONDS,
+    HOLDER_SILENCES as HOLDER_SILENCES,
 )
 from cranberryrelay.agreement._plan_relay import Followed as Followed
 from cranberryrelay.agreement._plan_relay import PlanRelay as PlanRelay
@@ -195,6 +206,7 @@
 )
 from cranberryrelay.agreement._plan_relay import instance_of as instance_of
 from cranberryrelay.agreement._plan_relay import is_newer_view as is_newer_view
+from cranberryrelay.agreement._plan_relay import merge_view as merge_view
 from cranberryrelay.agreement._plan_relay import relay_plan as relay_plan
 from cranberryrelay.agreement._publisher import (
     ACCEPT_POLL_SECONDS as ACCEPT_POLL_SECONDS,
--- a/cranberryrelay/agreement/_catalogue.py
+++ b/cranberryrelay/agreement/_catalogue.py
@@ -5,6 +5,8 @@
 from cranberryrelay.agreement._account import RangesSaved, RecordRanges
 from cranberryrelay.agreement._cell_messages import (
     PlanAck,
+    PlanAlive,
+    PlanLoads,
     PlanRedirect,
     PlanSubscribe,
     PlanView,
@@ -31,6 +33,8 @@
     EvidencePush,
     MembersPush,
     PlanAck,
+    PlanAlive,
+    PlanLoads,
     PlanRedirect,
     PlanSubscribe,
     PlanView,
--- a/cranberryrelay/agreement/_cell.py
+++ b/cranberryrelay/agreement/_cell.py
@@ -15,8 +15,11 @@
 import msgspec
 
 from cranberryrelay.agreement._cell_messages import (
+    NamedLoad,
     Phase,
     PlanAck,
+    PlanAlive,
+    PlanLoads,
     PlanRedirect,
     PlanSubscribe,
     PlanView,
@@ -53,7 +56,12 @@
 ENGINES_PER_DRAIN: Final = 4
 FENCE_STEP: Final = 1_000_000_000
 VIEW_PUSH_SECONDS: Final = 0.5
-SUBSCRIBER_SILENCE_SECONDS: Final = 5.0
+SUBSCRIBER_SILENCES: Final = 4
+SUBSCRIBE_PLAN_SECONDS: Final = 1.0
+ALIVE_BYTES: Final = 80
+ALIVE_BYTES_PER_SECOND: Final = 2000
+LOAD_BYTES: Final = 40
+LOAD_BYTES_PER_SECOND: Final = 4000
 _NEVER: Final = float('-inf')
 
 
@@ -139,6 +147,10 @@
     # When the nonce came; own clock.
     received_at: float
 
+    # Token and version of the plan that it has, or was sent.
+    token: int
+    version: int
+
 
 def cell_key(cell: str) -> str:
     """Return the key of a cell's object."""
@@ -168,8 +180,9 @@
         self.lease_sent_at = _NEVER
         self.busy = False
         self.leaving = False
-        self.sequence = 0
         self.pushed_at = _NEVER
+        self.loads_pushed_at = _NEVER
+        self.changed_in: dict[str, int] = {}
         self.ordered_at: dict[str, float] = {}
         self.done: set[str] = set()
         self.unanswered_at: dict[str, float] = {}
@@ -179,6 +192,7 @@
         self.subscribers: dict[str, Subscriber] = {}
         self.quiet: set[str] = set()
         self.loads: dict[str, UpstreamLoad] = {}
+        self.loads_at: dict[str, float] = {}
         self.role_changes = 0
 
     def holds_lease(self, now: float) -> bool:
@@ -214,9 +228,25 @@
         """Take in an answer of the store or of an engine."""
         return take_cell_answer(answer, self, now)
 
-    def record_load(self, upstream: str, load: UpstreamLoad) -> None:
+    def record_load(
+        self, upstream: str, load: UpstreamLoad, now: float
+    ) -> None:
         """Take in a load report."""
         self.loads[upstream] = load
+        self.loads_at[upstream] = now
+
+    def adopt_record(self, record: CellRecord) -> None:
+        """Take a record as written; note which upstreams it changes."""
+        known = self.record
+        for name, upstream in record.upstreams.items():
+            same = (
+                known is not None
+                and known.token == record.token
+                and known.upstreams.get(name) == upstream
+            )
+            if not same:
+                self.changed_in[name] = record.version
+        self.record = record
 
     def is_quiet(self) -> bool:
         """Tell if no order of this instance can still be on its way."""
@@ -297,34 +327,69 @@
             effects.append(GiveOrder(name, upstream.order))
         return effects
 
+    def subscribe_seconds(self) -> float:
+        """Return how often a subscriber is to subscribe.
+
+        It grows with the subscribers, so that the holder's bytes do not.
+        """
+        bytes_each_second = len(self.subscribers) * ALIVE_BYTES
+        return max(
+            SUBSCRIBE_PLAN_SECONDS, bytes_each_second / ALIVE_BYTES_PER_SECOND
+        )
+
     def _push_views(self, now: float) -> list[Effect]:
-        if now - self.pushed_at < VIEW_PUSH_SECONDS:
+        if now - self.pushed_at < VIEW_PUSH_SECONDS or self.record is None:
             return []
         self.pushed_at = now
+        silence = self.subscribe_seconds() * SUBSCRIBER_SILENCES
         self.subscribers = {
             name: one
             for name, one in self.subscribers.items()
-            if now - one.received_at <= SUBSCRIBER_SILENCE_SECONDS
+            if now - one.received_at <= silence
         }
-        return [
-            SendPeer(name, self.view_for(one.nonce))
+        effects: list[Effect] = []
+        current = (self.record.token, self.record.version)
+        for name, one in self.subscribers.items():
+            if (one.token, one.version) != current:
+                effects.append(SendPeer(name, self.view_for(one)))
+        self.subscribers = {
+            name: one._replace(token=current[0], version=current[1])
             for name, one in self.subscribers.items()
-        ]
+        }
+        return effects + self._push_loads(now)
+
+    def _push_loads(self, now: float) -> list[Effect]:
+        assert self.record is not None
+        size = len(self.loads) * LOAD_BYTES * len(self.subscribers)
+        period = max(VIEW_PUSH_SECONDS, size / LOAD_BYTES_PER_SECOND)
+        if now - self.loads_pushed_at < period:
+            return []
+        self.loads_pushed_at = now
+        loads = tuple(
+            NamedLoad(
+                name, load._replace(age_seconds=now - self.loads_at[name])
+            )
+            for name, load in self.loads.items()
+        )
+        message = PlanLoads(self.cell, self.record.token, loads)
+        return [SendPeer(name, message) for name in self.subscribers]
 
-    def view_for(self, nonce: int) -> PlanView:
-        """Build the view of the plan for a subscriber's nonce."""
+    def view_for(self, subscriber: Subscriber) -> PlanView:
+        """Build the plan for a subscriber, as far as it lacks it."""
         assert self.record is not None
-        self.sequence += 1
+        known = subscriber.token == self.record.token
+        since = subscriber.version if known else 0
         upstreams = tuple(
             self._view_upstream(name, upstream)
             for name, upstream in self.record.upstreams.items()
+            if since == 0 or self.changed_in.get(name, 0) > since
         )
         return PlanView(
             cell=self.cell,
-            nonce=nonce,
+            nonce=subscriber.nonce,
             token=self.record.token,
             version=self.record.version,
-            sequence=self.sequence,
+            since=since,
             upstreams=upstreams,
         )
 
@@ -561,16 +626,30 @@
 def _(
     message: PlanSubscribe, part: CellPart, sender: str, now: float
 ) -> list[Effect]:
-    if part.holds_lease(now):
-        part.subscribers[sender] = Subscriber(message.nonce, now)
-        if message.quiet:
-            part.quiet.add(sender)
-        return [SendPeer(sender, part.view_for(message.nonce))]
+    if part.holds_lease(now) and part.record is not None:
+        return _answer_subscriber(message, part, sender, now)
     if part.record is None or not part.record.holder or part.holding:
         return []
     return [SendPeer(sender, PlanRedirect(part.cell, part.record.holder))]
 
 
+def _answer_subscriber(
+    message: PlanSubscribe, part: CellPart, sender: str, now: float
+) -> list[Effect]:
+    assert part.record is not None
+    token, version = part.record.token, part.record.version
+    known = Subscriber(message.nonce, now, message.token, message.version)
+    part.subscribers[sender] = known._replace(token=token, version=version)
+    if message.quiet:
+        part.quiet.add(sender)
+    next_seconds = part.subscribe_seconds()
+    alive = PlanAlive(part.cell, message.nonce, next_seconds)
+    effects: list[Effect] = [SendPeer(sender, alive)]
+    if (message.token, message.version) != (token, version):
+        effects.append(SendPeer(sender, part.view_for(known)))
+    return effects
+
+
 @attend_cell.register
 def _(
     message: PlanAck, part: CellPart, sender: str, now: float
@@ -595,7 +674,8 @@
         if stored.version != part.version or part.record is None:
             part.seen_at = now
         part.version = stored.version
-        part.record = msgspec.json.decode(stored.body, type=CellRecord)
+        part.adopt_record(msgspec.json.decode(stored.body, type=CellRecord))
+        assert part.record is not None
         part.holding = part.record.incarnation == part.me.incarnation
     elif answer.outcome.unwrap_err().code is ResultCode.STORE_NOT_FOUND:
         part.version = 0
@@ -611,7 +691,7 @@
     written = msgspec.json.decode(answer.write.body, type=CellRecord)
     if answer.outcome.is_ok():
         part.version = answer.outcome.unwrap()
-        part.record = written
+        part.adopt_record(written)
         part.seen_at = now
         part.lease_sent_at = answer.sent_at
         part.holding = written.incarnation == part.me.incarnation
--- a/cranberryrelay/agreement/_cell_messages.py
+++ b/cranberryrelay/agreement/_cell_messages.py
@@ -77,9 +77,13 @@
     # True if no order of the subscriber can still be on its way.
     quiet: bool
 
+    # Token and version of the plan that it has; 0 before the first.
+    token: int
+    version: int
+
 
 class PlanView(NamedTuple):
-    """The plan of a cell; a higher (token, version, sequence) is newer."""
+    """The plan of a cell, whole or as far as it changed."""
 
     # Name of the cell.
     cell: str
@@ -94,13 +98,49 @@
     # Version of the plan under that token.
     version: int
 
-    # Rises with each view that the holder sends.
-    sequence: int
+    # Version that the changes build on; 0 when the plan is whole.
+    since: int
 
-    # The upstreams of the cell.
+    # The upstreams of the cell, or those that changed.
     upstreams: tuple[UpstreamView, ...]
 
 
+class PlanAlive(NamedTuple):
+    """The holder of a cell says that its plan has not changed."""
+
+    # Name of the cell.
+    cell: str
+
+    # Latest nonce of the subscriber.
+    nonce: int
+
+    # Seconds after which the subscriber is to subscribe again.
+    next_seconds: float
+
+
+class NamedLoad(NamedTuple):
+    """The load of an upstream."""
+
+    # Name of the upstream.
+    upstream: str
+
+    # Its last report.
+    load: UpstreamLoad
+
+
+class PlanLoads(NamedTuple):
+    """The holder of a cell passes load reports on."""
+
+    # Name of the cell.
+    cell: str
+
+    # Fencing token of the holder.
+    token: int
+
+    # Load reports of the cell's upstreams.
+    loads: tuple[NamedLoad, ...]
+
+
 class PlanAck(NamedTuple):
     """An entry has applied a plan and says where it still has work."""
 
--- a/cranberryrelay/agreement/_plan_relay.py
+++ b/cranberryrelay/agreement/_plan_relay.py
@@ -5,6 +5,8 @@
 
 from cranberryrelay.agreement._cell_messages import (
     PlanAck,
+    PlanAlive,
+    PlanLoads,
     PlanRedirect,
     PlanSubscribe,
     PlanView,
@@ -13,8 +15,8 @@
 from cranberryrelay.agreement._membership import MembershipIndex
 
 CANDIDATES_PER_CELL: Final = 3
-SUBSCRIBE_PLAN_SECONDS: Final = 1.0
-HOLDER_SILENCE_SECONDS: Final = 2.5
+_FIRST_SECONDS: Final = 1.0
+HOLDER_SILENCES: Final = 2.5
 ENTRY_SUFFIX: Final = '/entry'
 _NEVER: Final = float('-inf')
 _NONCES_KEPT: Final = 4
@@ -23,15 +25,24 @@
 class Followed(NamedTuple):
     """What a steward knows of a cell's plan."""
 
-    # The newest view; None before the first.
+    # The newest plan, whole; None before the first.
     view: PlanView | None = None
 
     # Instance that sent it.
     holder: str = ''
 
-    # When it came; own clock.
+    # When the holder was last heard; own clock.
     heard_at: float = _NEVER
 
+    # When the last subscription was sent; own clock.
+    subscribed_at: float = _NEVER
+
+    # Seconds between subscriptions.
+    every_seconds: float = _FIRST_SECONDS
+
+    # Nonce of the last subscription.
+    nonce: int = 0
+
 
 def find_candidates(members: MembershipIndex, cell: str) -> list[str]:
     """Name the instances that may hold a cell, the preferred one first."""
@@ -54,26 +65,31 @@
     def __init__(self, me: str, cells: tuple[str, ...]) -> None:
         self.me = me
         self.followed = {cell: Followed() for cell in cells}
-        self.nonce = 0
         self.attempt = 0
-        self.subscribed_at = _NEVER
 
     def on_tick(
         self, now: float, members: MembershipIndex, quiet: frozenset[str]
     ) -> list[Effect]:
         """Subscribe again; ``quiet`` names cells without own orders out."""
-        if now - self.subscribed_at < SUBSCRIBE_PLAN_SECONDS:
-            return []
-        self.subscribed_at = now
-        self.nonce += 1
-        self.attempt += 1
-        return [
-            SendPeer(
-                self._target(cell, followed, now, members),
-                PlanSubscribe(cell, self.nonce, cell in quiet),
+        effects: list[Effect] = []
+        for cell, followed in self.followed.items():
+            if now - followed.subscribed_at < followed.every_seconds:
+                continue
+            target = self._target(cell, followed, now, members)
+            renewed = followed._replace(
+                subscribed_at=now, nonce=followed.nonce + 1
             )
-            for cell, followed in self.followed.items()
-        ]
+            self.followed[cell] = renewed
+            view = followed.view
+            message = PlanSubscribe(
+                cell=cell,
+                nonce=renewed.nonce,
+                quiet=cell in quiet,
+                token=view.token if view else 0,
+                version=view.version if view else 0,
+            )
+            effects.append(SendPeer(target, message))
+        return effects
 
     def receive(self, sender: str, message: Any, now: float) -> list[Effect]:
         """Take in a view, a redirect or an entry's acknowledgement."""
@@ -94,9 +110,10 @@
         now: float,
         members: MembershipIndex,
     ) -> str:
-        silent = now - followed.heard_at > HOLDER_SILENCE_SECONDS
-        if followed.holder and not silent:
+        patience = followed.every_seconds * HOLDER_SILENCES
+        if followed.holder and now - followed.heard_at <= patience:
             return followed.holder
+        self.attempt += 1
         candidates = find_candidates(members, cell) or [self.me]
         return candidates[self.attempt % len(candidates)]
 
@@ -114,12 +131,42 @@
     message: PlanView, relay: PlanRelay, sender: str, now: float
 ) -> list[Effect]:
     followed = relay.followed.get(message.cell)
-    fresh = message.nonce > relay.nonce - _NONCES_KEPT
-    if followed is None or not fresh:
+    if followed is None or message.nonce <= followed.nonce - _NONCES_KEPT:
         return []
     if not is_newer_view(message, followed.view):
         return []
-    relay.followed[message.cell] = Followed(message, sender, now)
+    merged = merge_view(message, followed.view)
+    if merged is None:
+        return []
+    relay.followed[message.cell] = followed._replace(
+        view=merged, holder=sender, heard_at=now
+    )
+    return [SendPeer(entry_of(relay.me), merged)]
+
+
+@relay_plan.register
+def _(
+    message: PlanAlive, relay: PlanRelay, sender: str, now: float
+) -> list[Effect]:
+    followed = relay.followed.get(message.cell)
+    if followed is not None and message.nonce == followed.nonce:
+        relay.followed[message.cell] = followed._replace(
+            holder=sender,
+            heard_at=now,
+            every_seconds=message.next_seconds,
+        )
+    return []
+
+
+@relay_plan.register
+def _(
+    message: PlanLoads, relay: PlanRelay, sender: str, now: float
+) -> list[Effect]:
+    followed = relay.followed.get(message.cell)
+    if followed is None or followed.view is None:
+        return []
+    if message.token != followed.view.token:
+        return []
     return [SendPeer(entry_of(relay.me), message)]
 
 
@@ -149,8 +196,18 @@
     """Tell if a view is newer than the one known."""
     if known is None:
         return True
-    return (view.token, view.version, view.sequence) > (
-        known.token,
-        known.version,
-        known.sequence,
-    )
+    return (view.token, view.version) > (known.token, known.version)
+
+
+def merge_view(view: PlanView, known: PlanView | None) -> PlanView | None:
+    """Merge changes into the plan known; None if they do not build on it."""
+    if view.since == 0:
+        return view
+    if known is None or (known.token, known.version) != (
+        view.token,
+        view.since,
+    ):
+        return None
+    merged = {one.name: one for one in known.upstreams}
+    merged.update({one.name: one for one in view.upstreams})
+    return view._replace(since=0, upstreams=tuple(merged.values()))
--- a/cranberryrelay/entry/_core.py
+++ b/cranberryrelay/entry/_core.py
@@ -13,6 +13,7 @@
     Outcome,
     Phase,
     PlanAck,
+    PlanLoads,
     PlanView,
     RangeBuilder,
     RangesSaved,
@@ -401,6 +402,22 @@
     return effects
 
 
+@take_message.register
+def _(message: PlanLoads, core: EntryCore, now: float) -> list[Effect | Reply]:
+    view = core.views.get(message.cell)
+    if view is None or view.token != message.token:
+        return []
+    loads = {one.upstream: one.load for one in message.loads}
+    upstreams = tuple(
+        one._replace(load=loads.get(one.name, one.load))
+        for one in view.upstreams
+    )
+    core.views[message.cell] = view._replace(upstreams=upstreams)
+    core.viewed_at[message.cell] = now
+    core.configure_cell(message.cell)
+    return core.grant_slots(message.cell, now)
+
+
 @take_message.register
 def _(
     message: RangesSaved, core: EntryCore, now: float
--- a/cranberryrelay/measure/_overhead.py
+++ b/cranberryrelay/measure/_overhead.py
@@ -125,14 +125,15 @@
         self, url: str, body: dict[str, object], headers: dict[str, str]
     ) -> Timed:
         started = time.perf_counter()
-        marks: list[float] = []
         async with self.client.stream(
             'POST', url, json=body, headers=headers
         ) as response:
             response.raise_for_status()
-            async for line in response.aiter_lines():
-                if line:
-                    marks.append(time.perf_counter())
+            marks = [
+                time.perf_counter()
+                async for line in response.aiter_lines()
+                if line
+            ]
         between = (marks[-1] - marks[0]) / max(len(marks) - 1, 1)
         return Timed(marks[0] - started, between)
 
@@ -160,5 +161,4 @@
     left: Iterator[int],
     times: list[Timed],
 ) -> None:
-    for _ in left:
-        times.append(await call())
+    times.extend([await call() for _ in left])
--- a/cranberryrelay/measure/_policy_report.py
+++ b/cranberryrelay/measure/_policy_report.py
@@ -3,7 +3,9 @@
 import csv
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
+
+from matplotlib.figure import Figure
 
 from cranberryrelay.measure._oracle import count_oracle_goodput
 from cranberryrelay.measure._policies import (
@@ -165,13 +167,8 @@
 
 
 def _plot_site(site: str, rows: list[PolicyRow]) -> None:
-    import matplotlib
-
-    matplotlib.use('svg')
-    from matplotlib import pyplot
-
-    figure: Any
-    figure, axes = pyplot.subplots(figsize=(10, 5))
+    figure = Figure(figsize=(10, 5))
+    axes = figure.subplots()
     scenarios = list(dict.fromkeys(row.scenario for row in rows))
     for place, (policy, _) in enumerate(POLICIES):
         heights = [row.of_oracle for row in rows if row.policy == policy]
--- a/cranberryrelay/measure/_policy_run.py
+++ b/cranberryrelay/measure/_policy_run.py
@@ -171,7 +171,8 @@
         if 0 <= scenario.withdraw_at <= self.now:
             self.engines['engine-0000'].withdrawn = True
         stops = scenario.control_stops_at
-        stopped = 0 <= stops <= self.now < scenario.control_returns_at
+        back = self.now >= scenario.control_returns_at
+        stopped = 0 <= stops <= self.now and not back
         if self.now - self.reported_at >= REPORT_SECONDS:
             self.reported_at = self.now
             due_at = self.now + scenario.report_lag_seconds
--- a/cranberryrelay/notes/_in_force.py
+++ b/cranberryrelay/notes/_in_force.py
@@ -229,14 +229,13 @@
     return fields
 
 
-_VIEWS: Final[Mapping[str, Callable[[str, Mapping[str, Any]], Any]]] = (
-    MappingProxyType(
-        {
-            'models': _view_model,
-            'ranks': _view_rank,
-            'kinds': _view_kind,
-            'services': _view_service,
-            'roles': _view_role,
-        }
-    )
+_ViewRecord = Callable[[str, Mapping[str, Any]], Any]
+_VIEWS: Final[Mapping[str, _ViewRecord]] = MappingProxyType(
+    {
+        'models': _view_model,
+        'ranks': _view_rank,
+        'kinds': _view_kind,
+        'services': _view_service,
+        'roles': _view_role,
+    }
 )
--- a/cranberryrelay/steward/_core.py
+++ b/cranberryrelay/steward/_core.py
@@ -15,6 +15,8 @@
     LedgerPart,
     LoadAnswered,
     PlanAck,
+    PlanAlive,
+    PlanLoads,
     PlanRedirect,
     PlanRelay,
     PlanSubscribe,
@@ -99,7 +101,7 @@
     def on_answer(self, answer: Answer, now: float) -> list[Effect]:
         """Take in an answer of the store or of an upstream."""
         if isinstance(answer, LoadAnswered):
-            self._take_load(answer)
+            self._take_load(answer, now)
             return []
         effects = list(self.spread.on_answer(answer, now))
         for part in self.cells.values():
@@ -176,7 +178,7 @@
             for name, setting in part.settings.items()
         ]
 
-    def _take_load(self, answer: LoadAnswered) -> None:
+    def _take_load(self, answer: LoadAnswered, now: float) -> None:
         if answer.load is None:
             failures = self.load_failures.get(answer.upstream, 0) + 1
             self.load_failures[answer.upstream] = failures
@@ -188,7 +190,7 @@
             load = answer.load
         for part in self.cells.values():
             if answer.upstream in part.settings:
-                part.record_load(answer.upstream, load)
+                part.record_load(answer.upstream, load, now)
 
 
 @singledispatch
@@ -247,10 +249,12 @@
     ]
 
 
-@route_message.register(PlanView)
+@route_message.register(PlanAlive)
+@route_message.register(PlanLoads)
 @route_message.register(PlanRedirect)
+@route_message.register(PlanView)
 def _(
-    message: PlanView | PlanRedirect,
+    message: PlanAlive | PlanLoads | PlanRedirect | PlanView,
     core: StewardCore,
     sender: str,
     now: float,
