Subscribe to the own steward always; replay an outcome asked for at once

Change: a follower always subscribes to its first parent, and to another one as well while that is silent; the ledger keeps a repeat waiting while the outcome of its key is being written.

--- a/cranberryrelay/agreement/_follower.py
+++ b/cranberryrelay/agreement/_follower.py
@@ -55,7 +55,8 @@
         self.parents: list[str] = []
         self.attempt = 0
         self.subscribed_at = float('-inf')
-        self.fed_at = float('-inf')
+        self.fed_by: dict[str, float] = {}
+        self.started_at: float | None = None
         self.rejected = 0
         self.changed: list[RecordChange] = []
         self.replaced = True
@@ -65,7 +66,7 @@
     def on_tick(
         self, now: float, parents: list[str] | None = None
     ) -> list[Effect]:
-        """Subscribe again when it is time, elsewhere if the parent is silent.
+        """Subscribe again when it is time, elsewhere too if one is silent.
 
         ``parents`` replaces the ones found from the list of instances.
         """
@@ -74,14 +75,34 @@
         self.parents = parents or self.members.list_parents(self.me)
         if not self.parents:
             return []
-        if now - self.fed_at > PARENT_SILENCE_SECONDS:
+        if self.started_at is None:
+            self.started_at = now
+        self.subscribed_at = now
+        self.nonce += 1
+        self.sent_by_nonce[self.nonce] = now
+        self.sent_by_nonce.pop(self.nonce - _NONCES_KEPT, None)
+        return [self._subscribe(parent) for parent in self._targets(now)]
+
+    def _targets(self, now: float) -> list[str]:
+        """Name the first parent, and another one while that is silent."""
+        first = self.parents[0]
+        if not self._is_silent(self.fed_by.get(first), now):
+            self.attempt = 0
+            return [first]
+        fed_at = max(self.fed_by.values(), default=None)
+        if self._is_silent(fed_at, now) or self.attempt == 0:
             self.attempt += 1
-        else:
-            self.attempt = max(self.attempt, 0)
-        return [self._subscribe(now)]
+        other = self.parents[self.attempt % len(self.parents)]
+        return [first] if other == first else [first, other]
 
-    def receive(self, message: Any, now: float) -> None:
+    def _is_silent(self, fed_at: float | None, now: float) -> bool:
+        since = self.started_at if fed_at is None else fed_at
+        return since is None or now - since > PARENT_SILENCE_SECONDS
+
+    def receive(self, message: Any, now: float, sender: str) -> None:
         """Take in a message from a parent."""
+        if isinstance(message, EvidencePush):
+            self.fed_by[sender] = now
         follow(message, self, now)
 
     def apply_records(self, records: tuple[RevisionRecord, ...]) -> None:
@@ -137,12 +158,7 @@
         else:
             self.rejected += 1
 
-    def _subscribe(self, now: float) -> SendPeer:
-        self.subscribed_at = now
-        self.nonce += 1
-        self.sent_by_nonce[self.nonce] = now
-        self.sent_by_nonce.pop(self.nonce - _NONCES_KEPT, None)
-        parent = self.parents[self.attempt % len(self.parents)]
+    def _subscribe(self, parent: str) -> SendPeer:
         message = Subscribe(
             nonce=self.nonce,
             revision=self.folded.revision,
@@ -164,7 +180,6 @@
     asked_at = follower.sent_by_nonce.get(message.nonce)
     if asked_at is None:
         return
-    follower.fed_at = now
     sent_at = min(asked_at + message.offset_seconds, now)
     follower.book.record(Evidence(sent_at, message.revision))
 
--- a/cranberryrelay/agreement/_ledger.py
+++ b/cranberryrelay/agreement/_ledger.py
@@ -221,8 +221,9 @@
 
     def _write(self, now: float) -> list[Effect]:
         effects = self._answer_known()
-        batch = tuple(self.waiting[:BATCH_LIMIT])
-        self.waiting = self.waiting[BATCH_LIMIT:]
+        ready = [one for one in self.waiting if self._is_ready(one)]
+        batch = tuple(ready[:BATCH_LIMIT])
+        self.waiting = [one for one in self.waiting if one not in batch]
         releases = tuple(
             LedgerEntry(key, '', exchange, NOT_RUN_OUTCOME)
             for exchange, key in self.abandoned.items()
@@ -247,8 +248,16 @@
         effects: list[Effect] = []
         kept: list[Waiting] = []
         seen: set[str] = set()
+        settling = {
+            one.message.key
+            for one in self.waiting
+            if isinstance(one.message, Settle)
+        }
         for one in self.waiting:
             verdict = judge(self.bookings, one.message)
+            if is_unresolved(verdict) and one.message.key in settling:
+                kept.append(one)
+                continue
             if verdict is None and one.message.key in seen:
                 verdict = _postpone(one.message)
             if verdict is None:
@@ -259,6 +268,10 @@
         self.waiting = kept
         return effects
 
+    def _is_ready(self, one: Waiting) -> bool:
+        """Tell if a message can be written now."""
+        return judge(self.bookings, one.message) is None
+
     def finish_write(self) -> list[Effect]:
         """Answer everybody whose line is now in the log."""
         answers: list[Effect] = [
@@ -336,6 +349,13 @@
     return Reserved(message.exchange, Verdict.UNRESOLVED)
 
 
+def is_unresolved(verdict: Reserved | Settled | None) -> bool:
+    """Tell if a verdict says that an earlier attempt has no outcome."""
+    return (
+        isinstance(verdict, Reserved) and verdict.verdict is Verdict.UNRESOLVED
+    )
+
+
 def _postpone(message: Reserve | Settle) -> Reserved | Settled:
     if isinstance(message, Settle):
         return Settled(message.exchange)
--- a/cranberryrelay/agreement/_spread.py
+++ b/cranberryrelay/agreement/_spread.py
@@ -273,7 +273,7 @@
     message: Any, part: SpreadPart, sender: str, now: float
 ) -> list[Effect]:
     """Take in a message; what is not from a child is from a parent."""
-    part.follower.receive(message, now)
+    part.follower.receive(message, now, sender)
     if isinstance(message, MembersPush):
         part.everyone = part.follower.members
     return []
--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -8,6 +8,7 @@
 from cranberryrelay.entry._core import (
     ENGINE_REST_SECONDS as ENGINE_REST_SECONDS,
 )
+from cranberryrelay.entry._core import FOLLOWED_MESSAGES as FOLLOWED_MESSAGES
 from cranberryrelay.entry._core import LEDGER_SECONDS as LEDGER_SECONDS
 from cranberryrelay.entry._core import OVERCOMMIT as OVERCOMMIT
 from cranberryrelay.entry._core import REPORT_SECONDS as REPORT_SECONDS
--- a/cranberryrelay/entry/_core.py
+++ b/cranberryrelay/entry/_core.py
@@ -8,8 +8,11 @@
 from result import Err, Ok
 
 from cranberryrelay.agreement import (
+    ChangesPush,
     Effect,
+    EvidencePush,
     Follower,
+    MembersPush,
     Outcome,
     Phase,
     PlanAck,
@@ -23,6 +26,7 @@
     SendPeer,
     Settle,
     Settled,
+    SnapshotPush,
     UpstreamView,
     Verdict,
     check_admission,
@@ -66,6 +70,12 @@
 ACK_SECONDS: Final = 0.5
 LEDGER_SECONDS: Final = 3.0
 ENGINE_REST_SECONDS: Final = 1.0
+FOLLOWED_MESSAGES: Final = (
+    ChangesPush,
+    EvidencePush,
+    MembersPush,
+    SnapshotPush,
+)
 _NEVER: Final = float('-inf')
 
 
@@ -154,8 +164,14 @@
             effects.extend(self.grant_slots(cell, now))
         return effects
 
-    def receive(self, message: Any, now: float) -> list[Effect | Reply]:
+    def receive(
+        self, message: Any, now: float, sender: str
+    ) -> list[Effect | Reply]:
         """Take in a message from a steward."""
+        if isinstance(message, FOLLOWED_MESSAGES):
+            self.follower.receive(message, now, sender)
+            self.notes_in_force()
+            return []
         return take_message(message, self, now)
 
     def ask(self, asked: Ask, now: float, utc: float) -> list[Effect | Reply]:
@@ -376,12 +392,7 @@
 def take_message(
     message: Any, core: EntryCore, now: float
 ) -> list[Effect | Reply]:
-    """Take in a message from a steward; the follower's by default."""
-    core.follower.receive(message, now)
-    if core.notes is None or core.notes.revision != (
-        core.follower.folded.revision
-    ):
-        core.notes_in_force()
+    """Take in a message that is not for an entry."""
     return []
 
 
--- a/cranberryrelay/entry/_link.py
+++ b/cranberryrelay/entry/_link.py
@@ -27,6 +27,9 @@
 class FromPeer(NamedTuple):
     """A message from a steward."""
 
+    # Name of the steward's instance.
+    sender: str
+
     # The message.
     message: Any
 
@@ -78,15 +81,15 @@
 
     async def forward_messages(self) -> None:
         """Send the core the messages of stewards."""
-        async for _, message in self.client.inbox:
-            await self.outside.send(FromPeer(message))
+        async for sender, message in self.client.inbox:
+            await self.outside.send(FromPeer(sender, message))
 
     def _decide(self, event: Any) -> list[Any]:
         now = self.timers.now()
         if isinstance(event, Ask):
             return self.core.ask(event, now, self.timers.utc())
         if isinstance(event, FromPeer):
-            return self.core.receive(event.message, now)
+            return self.core.receive(event.message, now, event.sender)
         return self.core.on_tick(now)
 
     def _perform(self, effect: Any) -> None:
--- a/cranberryrelay/testkit/_local_network.py
+++ b/cranberryrelay/testkit/_local_network.py
@@ -318,7 +318,9 @@
 
     def _take(self, instance: Instance, event: Any) -> None:
         if isinstance(event, ToEntry):
-            taken = instance.entry.receive(event.message, self.now)
+            taken = instance.entry.receive(
+                event.message, self.now, event.sender
+            )
             self.carry(instance, taken, by_entry=True)
         elif isinstance(event, Received):
             self.carry(instance, instance.steward.receive(event, self.now))
@@ -368,6 +370,9 @@
 class ToEntry(NamedTuple):
     """A message for an instance's entry."""
 
+    # Instance whose steward sent it.
+    sender: str
+
     # The message.
     message: Any
 
@@ -399,7 +404,7 @@
         return
     event: Any = Received(sender, effect.message)
     if effect.instance.endswith('/entry'):
-        event = ToEntry(effect.message)
+        event = ToEntry(sender, effect.message)
     delay = 0 if receiver == me else STEP_SECONDS
     network.post(receiver, event, delay)
 
