--- a/cranberryrelay/measure/_capacity.py
+++ b/cranberryrelay/measure/_capacity.py
@@ -8,13 +8,13 @@
 import gc
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from functools import partial
 from statistics import linear_regression
 from typing import Any, Final, NamedTuple
 
 import msgspec
-import psutil
 
 from cranberryrelay.agreement import (
     AccountRange,
@@ -27,7 +27,9 @@
     FoldedNotes,
     NoteAction,
     NoteContent,
+    RecordChange,
     RecordDigest,
+    amend_view,
     digest_records,
     encode_snapshot,
     take_snapshot,
@@ -50,12 +52,15 @@
 REQUESTS_PER_SECOND: Final = 30_000
 CHANGES_PER_DAY: Final = 48_000
 DAY_SECONDS: Final = 86_400
-INSTANCE_SIZES: Final = (7, 30, 100, 300)
+TODAY_INSTANCES: Final = 7
+INSTANCE_SIZES: Final = (44, 110, 330, 660)
 RECORD_SIZES: Final = (1000, 4000, 12_000, 23_000)
 ENGINE_SIZES: Final = (10, 64, 250, 1000)
 KEY_SIZES: Final = (10_000, 20_000, 40_000, 80_000)
 SETTLE_SECONDS: Final = 10
 MEASURE_SECONDS: Final = 20
+OUTAGE_SECONDS: Final = 60
+HERD_SECONDS: Final = 10
 RECORD_BYTES: Final = 110
 _KILO: Final = 1000
 _MICRO: Final = 1_000_000
@@ -105,6 +110,9 @@
 class StewardCost(NamedTuple):
     """What the stewards of a site cost, for each instance and second."""
 
+    # Instances of the site.
+    instances: int
+
     # Mean and worst messages and bytes sent.
     messages: float
     bytes_mean: float
@@ -119,18 +127,19 @@
     # Memory of each steward, in megabytes.
     memory: float
 
+    # Most store calls of the site in a second after a store outage.
+    herd_calls: float
+
 
 def measure_stewards(instances: int) -> StewardCost:
     """Run a site's stewards with a change every two seconds."""
-    gc.collect()
-    process = psutil.Process()
-    before = process.memory_info().rss
     domains = min(DOMAINS, max(instances // 2, 3))
+    watch = MemoryWatch()
     network = LocalNetwork(make_sites(instances, domains), with_entries=False)
     network.run(SETTLE_SECONDS / 2)
     network.publish(make_command(NoteAction.PUBLISH))
     network.run(SETTLE_SECONDS / 2)
-    memory = (process.memory_info().rss - before) / instances / _MICRO
+    memory = watch.stop() / instances
     network.count_bytes = True
     network.messages_sent.clear()
     network.store_calls.clear()
@@ -143,15 +152,46 @@
     seconds = float(MEASURE_SECONDS)
     sent = [network.bytes_sent[name] / seconds for name in network.instances]
     return StewardCost(
+        instances=instances,
         messages=network.messages_sent.total() / seconds / instances,
         bytes_mean=sum(sent) / instances,
         bytes_worst=max(sent),
         store_calls=network.store_calls.total() / seconds,
         processor=spent / seconds / instances,
         memory=memory,
+        herd_calls=measure_herd(network),
     )
 
 
+def measure_herd(network: LocalNetwork) -> float:
+    """Return the most store calls in a second after an outage."""
+    network.store.switch_faults({'outage': True})
+    network.run(OUTAGE_SECONDS)
+    network.store.switch_faults({'outage': False})
+    most = 0
+    for _ in range(HERD_SECONDS):
+        network.store_calls.clear()
+        network.run(1)
+        most = max(most, network.store_calls.total())
+    return float(most)
+
+
+class MemoryWatch:
+    """Counts the memory that Python allocates while it watches."""
+
+    def __init__(self) -> None:
+        gc.collect()
+        tracemalloc.start()
+        self.before = tracemalloc.get_traced_memory()[0]
+
+    def stop(self) -> float:
+        """Stop and return the megabytes that are still held."""
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0] - self.before
+        tracemalloc.stop()
+        return held / _MICRO
+
+
 def make_records(count: int) -> dict[str, dict[str, Any]]:
     """Make records like those of callers."""
     return {
@@ -176,6 +216,7 @@
     whole: list[Point] = []
     kept: list[Point] = []
     view: list[Point] = []
+    amended: list[Point] = []
     for count in RECORD_SIZES:
         records = make_records(count)
         digest = RecordDigest()
@@ -190,11 +231,21 @@
         view.append(
             Point(count, time_call(partial(view_records, 1, records), 3))
         )
+        built = view_records(1, records)
+        key = 'callers.customer-00000'
+        changes = [RecordChange(key, records[key], records[key])]
+        amended.append(
+            Point(
+                count,
+                time_call(partial(amend_view, built, 2, changes), 200),
+            )
+        )
     target = CUSTOMERS + ENGINES
     return [
         Slope('digest recomputed whole, us a change', whole, target),
         Slope('digest by buckets, us a change', kept, target),
         Slope('typed view built anew, us a change', view, target),
+        Slope('typed view amended, us a change', amended, target),
     ]
 
 
@@ -202,15 +253,12 @@
     """Measure a snapshot's bytes and the memory of folded notes."""
     sizes: list[Point] = []
     memory: list[Point] = []
-    process = psutil.Process()
     for count in RECORD_SIZES:
-        gc.collect()
-        before = process.memory_info().rss
+        watch = MemoryWatch()
         folded = FoldedNotes()
         content = NoteContent('all', '', make_records(count), ())
         folded.replace_note('all', content, 1)
-        used = process.memory_info().rss - before
-        memory.append(Point(count, max(used, 0) / _MICRO))
+        memory.append(Point(count, watch.stop()))
         encoded = encode_snapshot(take_snapshot(folded))
         sizes.append(Point(count, len(encoded) / _KILO))
     target = CUSTOMERS + ENGINES
@@ -268,10 +316,8 @@
 def measure_ledger_memory() -> list[Slope]:
     """Measure the memory of booked keys."""
     points: list[Point] = []
-    process = psutil.Process()
     for count in KEY_SIZES:
-        gc.collect()
-        before = process.memory_info().rss
+        watch = MemoryWatch()
         kept = {
             f'{number:064x}': Booking(
                 f'{number:064x}',
@@ -280,8 +326,7 @@
             )
             for number in range(count)
         }
-        used = max(process.memory_info().rss - before, 0)
-        points.append(Point(count, used / _MICRO))
+        points.append(Point(count, watch.stop()))
         kept.clear()
     daily = REQUESTS_PER_SECOND * DAY_SECONDS // 100 // NODES
     name = 'ledger keys of one node, MB (1% of calls, a day)'
@@ -311,6 +356,7 @@
 
 def measure_capacity() -> str:
     """Measure all slopes; returns points, fits and projections."""
+    today = measure_stewards(TODAY_INSTANCES)
     costs = [measure_stewards(size) for size in INSTANCE_SIZES]
     fields = {
         'messages': 'steward messages sent, a second each',
@@ -319,14 +365,12 @@
         'store_calls': 'store calls of the site, a second',
         'processor': 'steward processor time, part of a core each',
         'memory': 'steward memory, MB each',
+        'herd_calls': 'store calls in the worst second after an outage',
     }
     slopes = [
         Slope(
             name,
-            [
-                Point(size, getattr(cost, field))
-                for size, cost in zip(INSTANCE_SIZES, costs, strict=True)
-            ],
+            [Point(cost.instances, getattr(cost, field)) for cost in costs],
             NODES,
         )
         for field, name in fields.items()
@@ -336,7 +380,8 @@
     slopes.extend(measure_decisions())
     slopes.extend(measure_ledger_memory())
     slopes.extend(measure_account())
-    return '\n'.join(_format_slope(slope) for slope in slopes)
+    head = [f'today: {today}', f'{DOMAINS} failure domains below']
+    return '\n'.join(head + [_format_slope(slope) for slope in slopes])
 
 
 def _format_slope(slope: Slope) -> str:
--- a/cranberryrelay/measure/_overhead.py
+++ b/cranberryrelay/measure/_overhead.py
@@ -31,6 +31,7 @@
 WORKERS: Final = 8
 PROMPT: Final = 'measure the overhead of one entry'
 _KILO: Final = 1000
+_MICRO: Final = 1_000_000
 
 
 class Timed(NamedTuple):
@@ -55,6 +56,9 @@
     # Answers a second with all workers.
     rate: float
 
+    # Processor time of the whole process for each token, in seconds.
+    processor: float
+
 
 async def measure_overhead(requests: int) -> str:
     """Send the same requests directly and through an entry."""
@@ -82,6 +86,8 @@
             f'ratios:  first {relayed.first / direct.first:.2f}, between '
             f'{relayed.between / direct.between:.2f}, rate '
             f'{relayed.rate / direct.rate:.2f}',
+            f'processor a token: direct {direct.processor * _MICRO:.0f} us, '
+            f'with the entry {relayed.processor * _MICRO:.0f} us',
         )
     )
 
@@ -145,6 +151,7 @@
     times: list[Timed] = []
     left = iter(range(requests))
     started = time.perf_counter()
+    spent = time.process_time()
     async with trio.open_nursery() as nursery:
         for _ in range(WORKERS):
             nursery.start_soon(_work, call, left, times)
@@ -153,6 +160,7 @@
         statistics.median(one.first for one in times),
         statistics.median(one.between for one in times),
         len(times) / seconds,
+        (time.process_time() - spent) / len(times) / TOKENS,
     )
 
 
