--- a/cranberryrelay/agreement/_archive.py
+++ b/cranberryrelay/agreement/_archive.py
@@ -29,6 +29,7 @@
 
 BASE_INTERVAL: Final = 32
 CHUNK_BYTES: Final = 500_000
+CREATE_ATTEMPTS: Final = 3
 BASE_KEY: Final = 'notes/base'
 _PLACE_DIGITS: Final = 10
 
@@ -124,27 +125,42 @@
     if loaded.head is None:
         return None
     key = history_key(loaded.head.revision)
-    kept = await api.write(key, encode_revision(loaded.head), 0)
-    if kept.is_err():
-        failure = kept.unwrap_err()
-        if failure.code is not ResultCode.STORE_CONFLICT:
-            return failure
+    failure = await create_once(api, key, encode_revision(loaded.head))
+    if failure is not None:
+        return failure
     if loaded.folded.revision % BASE_INTERVAL == 0:
         return await _keep_base(api, loaded.folded)
     return None
 
 
+async def create_once(api: ObjectApi, key: str, body: bytes) -> Failure | None:
+    """Create an object that never changes; settles lost answers.
+
+    Whoever creates it writes the same value, so a conflict is success and
+    a write whose answer was lost is simply made again.
+    """
+    failure: Failure | None = None
+    for _ in range(CREATE_ATTEMPTS):
+        written = await api.write(key, body, 0)
+        if written.is_ok():
+            return None
+        failure = written.unwrap_err()
+        if failure.code is ResultCode.STORE_CONFLICT:
+            return None
+        if failure.code is not ResultCode.STORE_OUTCOME_UNKNOWN:
+            return failure
+    return failure
+
+
 async def _keep_base(api: ObjectApi, folded: FoldedNotes) -> Failure | None:
     body = encode_snapshot(take_snapshot(folded))
     starts = range(0, len(body), CHUNK_BYTES)
     for chunk, start in enumerate(starts):
         piece = body[start : start + CHUNK_BYTES]
         key = chunk_key(folded.revision, chunk)
-        written = await api.write(key, piece, 0)
-        if written.is_err():
-            failure = written.unwrap_err()
-            if failure.code is not ResultCode.STORE_CONFLICT:
-                return failure
+        failure = await create_once(api, key, piece)
+        if failure is not None:
+            return failure
     pointer = BasePointer(folded.revision, len(starts))
     return await _move_pointer(api, pointer)
 
--- a/cranberryrelay/notes/_draft.py
+++ b/cranberryrelay/notes/_draft.py
@@ -74,7 +74,7 @@
         content=command.content,
         operation_id=command.operation_id,
         operator=command.operator,
-        written_at=command.written_at,
+        written_at=float(command.written_at),
         digest=after.digest.value(),
         chain='',
     )
--- a/cranberryrelay/operators/_status.py
+++ b/cranberryrelay/operators/_status.py
@@ -1,5 +1,6 @@
 """What the platform's objects say of the state of the system."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -43,7 +44,7 @@
     # Former holders not known to have stopped.
     former: tuple[str, ...]
 
-    # 'name role phase' of each upstream.
+    # 'name role phase models' of each upstream.
     upstreams: tuple[str, ...]
 
 
@@ -103,10 +104,14 @@
     )
 
 
+def _describe_models(models: Mapping[str, str]) -> str:
+    return ' '.join(f'{name}={models[name]}' for name in sorted(models))
+
+
 def _describe_cell(key: str, body: bytes) -> CellStatus:
     record = msgspec.json.decode(body, type=CellRecord)
     upstreams = tuple(
-        f'{name} {one.role} {one.phase}'
+        f'{name} {one.role} {one.phase} {_describe_models(one.models)}'
         for name, one in sorted(record.upstreams.items())
     )
     cell = key.rpartition('/')[2]
--- a/cranberryrelay/steward/_program.py
+++ b/cranberryrelay/steward/_program.py
@@ -15,6 +15,7 @@
 from cranberryrelay.platform import open_object_api
 from cranberryrelay.policy import SuspectCrash
 from cranberryrelay.settings import Settings, load_settings
+from cranberryrelay.steward._metrics import serve_metrics
 from cranberryrelay.steward._shell import open_steward
 from cranberryrelay.timing import open_timer_service
 from cranberryrelay.wire import (
@@ -51,7 +52,15 @@
             open_timer_service() as timers,
             open_object_api(settings.platform, STORE_TIMEOUT_SECONDS) as api,
             open_steward(settings, incarnation, api, network, timers) as shell,
+            trio.open_nursery() as nursery,
         ):
+            if settings.steward_metrics_address:
+                nursery.start_soon(
+                    serve_metrics,
+                    shell,
+                    settings.steward_metrics_address,
+                    stop,
+                )
             await stop.wait()
             await shell.leave()
 
