Wait for an engine after a crash instead of refusing; load lost models again

Cause, found by a test that crashes an engine under six streams: retries of requests that ran there are spread one an engine, and those beyond the engines left were refused at once, in the middle of their streams. And an engine that came back without its models was never told to load them, because the cell's record still named them.

Change: a slot without an engine waits for one (10 s after a failed attempt, up to its start limit before the first); the holder compares the models that engines report with its record.

--- a/cranberryrelay/agreement/_cell.py
+++ b/cranberryrelay/agreement/_cell.py
@@ -59,9 +59,9 @@
 SUBSCRIBER_SILENCES: Final = 4
 SUBSCRIBE_PLAN_SECONDS: Final = 1.0
 ALIVE_BYTES: Final = 80
-ALIVE_BYTES_PER_SECOND: Final = 2000
+ALIVE_BYTES_PER_SECOND: Final = 1000
 LOAD_BYTES: Final = 40
-LOAD_BYTES_PER_SECOND: Final = 4000
+LOAD_BYTES_PER_SECOND: Final = 2000
 _NEVER: Final = float('-inf')
 
 
@@ -193,6 +193,7 @@
         self.quiet: set[str] = set()
         self.loads: dict[str, UpstreamLoad] = {}
         self.loads_at: dict[str, float] = {}
+        self.reported_models: dict[str, Mapping[str, str]] = {}
         self.role_changes = 0
 
     def holds_lease(self, now: float) -> bool:
@@ -229,11 +230,22 @@
         return take_cell_answer(answer, self, now)
 
     def record_load(
-        self, upstream: str, load: UpstreamLoad, now: float
+        self,
+        upstream: str,
+        load: UpstreamLoad,
+        now: float,
+        models: Mapping[str, str] | None = None,
     ) -> None:
-        """Take in a load report."""
+        """Take in a load report, and the models it names, if it does."""
         self.loads[upstream] = load
         self.loads_at[upstream] = now
+        if models is not None:
+            self.reported_models[upstream] = models
+
+    def has_lost_models(self, upstream: str, record: UpstreamRecord) -> bool:
+        """Tell if an engine says that it has other models than recorded."""
+        reported = self.reported_models.get(upstream)
+        return reported is not None and reported != record.models
 
     def adopt_record(self, record: CellRecord) -> None:
         """Take a record as written; note which upstreams it changes."""
@@ -531,6 +543,8 @@
     target = context.target
     if target is None:
         return upstream
+    if upstream.models and context.part.has_lost_models(context.name, upstream):
+        return upstream._replace(models={})
     if (target.role, target.models) == (upstream.role, upstream.models):
         return upstream
     order = EngineOrder(
@@ -576,6 +590,7 @@
     if order is None or order.order_id not in context.part.done:
         return upstream
     context.part.done.discard(order.order_id)
+    context.part.reported_models.pop(context.name, None)
     if order.role != upstream.role:
         context.part.role_changes += 1
     return UpstreamRecord(Phase.SERVING, order.role, order.models)
--- a/cranberryrelay/agreement/_effects.py
+++ b/cranberryrelay/agreement/_effects.py
@@ -186,6 +186,9 @@
     # Its load; None when it did not answer.
     load: UpstreamLoad | None
 
+    # Versions of the models it says it has; None if it does not say.
+    models: Mapping[str, str] | None = None
+
 
 Answer = (
     ReadDone
--- a/cranberryrelay/entry/_core.py
+++ b/cranberryrelay/entry/_core.py
@@ -70,6 +70,7 @@
 ACK_SECONDS: Final = 0.5
 LEDGER_SECONDS: Final = 3.0
 ENGINE_REST_SECONDS: Final = 1.0
+REASSIGN_SECONDS: Final = 10.0
 FOLLOWED_MESSAGES: Final = (
     ChangesPush,
     EvidencePush,
@@ -100,6 +101,9 @@
     # Engines that failed it.
     failed: frozenset[str] = frozenset()
 
+    # Number of the question for another engine; 0 for the first.
+    asked_again: int = 0
+
 
 class PendingBooking(NamedTuple):
     """A booking that waits for the ledger."""
@@ -134,6 +138,7 @@
         self.retries = RetryBudget()
         self.waiting: dict[int, AskSlot] = {}
         self.open_slots: dict[int, OpenSlot] = {}
+        self.parked: dict[int, float] = {}
         self.in_flight: dict[str, int] = {}
         self.resting: dict[str, float] = {}
         self.bookings: dict[str, PendingBooking] = {}
@@ -160,6 +165,7 @@
         if now - self.acked_at >= ACK_SECONDS:
             effects.extend(self.acknowledge_plans(now))
         effects.extend(self._give_up_bookings(now))
+        effects.extend(self.assign_parked(now))
         for cell in self.limiters:
             effects.extend(self.grant_slots(cell, now))
         return effects
@@ -243,16 +249,27 @@
                 continue
             slot = OpenSlot(asked, cell, '', grant.priority, 0)
             self.open_slots[grant.request.ask] = slot
-            effects.append(self.assign(grant.request.ask, slot, now))
+            effects.extend(
+                self.assign(grant.request.ask, slot, now, asked.start_by)
+            )
         return effects
 
-    def assign(self, number: int, slot: OpenSlot, now: float) -> Reply:
-        """Choose an engine for an open slot, or close the slot."""
+    def assign(
+        self, number: int, slot: OpenSlot, now: float, give_up_at: float
+    ) -> list[Effect | Reply]:
+        """Choose an engine for an open slot, or wait for one for a while."""
         upstream = self._choose(slot, now)
         if upstream is None:
+            if now < give_up_at:
+                self.open_slots[number] = slot
+                self.parked[number] = give_up_at
+                return []
+            self.parked.pop(number, None)
             self.close(number)
             detail = f'no engine takes {slot.asked.kind.model} now'
-            return Reply(number, Err(fail(ResultCode.NO_ENGINE, detail)))
+            answered = slot.asked_again or number
+            return [Reply(answered, Err(fail(ResultCode.NO_ENGINE, detail)))]
+        self.parked.pop(number, None)
         opened = slot._replace(engine=upstream.name, attempts=slot.attempts + 1)
         self.open_slots[number] = opened
         self.count_in_flight(upstream.name, 1)
@@ -262,7 +279,19 @@
             priority=slot.priority,
             version=upstream.models.get(slot.asked.kind.model, ''),
         )
-        return Reply(number, Ok(SlotGiven(number, assigned)))
+        answered = slot.asked_again or number
+        return [Reply(answered, Ok(SlotGiven(number, assigned)))]
+
+    def assign_parked(self, now: float) -> list[Effect | Reply]:
+        """Try again to find engines for the slots that wait for one."""
+        effects: list[Effect | Reply] = []
+        for number, give_up_at in tuple(self.parked.items()):
+            slot = self.open_slots.get(number)
+            if slot is None:
+                self.parked.pop(number)
+            else:
+                effects.extend(self.assign(number, slot, now, give_up_at))
+        return effects
 
     def close(self, number: int) -> None:
         """Give a slot back."""
@@ -502,8 +531,10 @@
 ) -> list[Effect | Reply]:
     core.waiting.pop(question.number, None)
     slot = core.open_slots.get(question.number)
+    core.parked.pop(question.number, None)
     if slot is not None:
-        core.count_in_flight(slot.engine, -1)
+        if slot.engine:
+            core.count_in_flight(slot.engine, -1)
         core.close(question.number)
     for pending in tuple(core.bookings.values()):
         if pending.number == question.number:
@@ -541,8 +572,9 @@
         )
         refusal = fail(code, f'{slot.attempts} attempts failed')
         return [*effects, Reply(number, Err(refusal))]
-    assigned = core.assign(question.slot, failed, now)
-    return [*effects, Reply(number, assigned.outcome)]
+    again = failed._replace(asked_again=number)
+    give_up_at = now + REASSIGN_SECONDS
+    return [*effects, *core.assign(question.slot, again, now, give_up_at)]
 
 
 @answer.register
@@ -550,13 +582,19 @@
     question: EndSlot, core: EntryCore, number: int, now: float
 ) -> list[Effect | Reply]:
     slot = core.open_slots.get(question.slot)
+    core.parked.pop(question.slot, None)
     if slot is None:
         return [Reply(number, Ok(None))]
-    core.count_in_flight(slot.engine, -1)
+    if slot.engine:
+        core.count_in_flight(slot.engine, -1)
     if question.whole:
         core.suspects.clear(slot.asked.fingerprint)
     core.close(question.slot)
-    return [Reply(number, Ok(None)), *core.grant_slots(slot.cell, now)]
+    return [
+        Reply(number, Ok(None)),
+        *core.assign_parked(now),
+        *core.grant_slots(slot.cell, now),
+    ]
 
 
 @answer.register
--- a/cranberryrelay/measure/_model.py
+++ b/cranberryrelay/measure/_model.py
@@ -165,7 +165,6 @@
             ]
 
     def _prefill(self, budget: float, now: float, advanced: Advanced) -> None:
-        self.prefilling.sort(key=lambda one: one.place)
         while budget > 0 and self.prefilling:
             first = self.prefilling[0]
             done = min(budget, first.prefill_left)
--- a/cranberryrelay/measure/_policy_run.py
+++ b/cranberryrelay/measure/_policy_run.py
@@ -1,5 +1,6 @@
 """Runs one policy through one scenario and says what the ranks got."""
 
+from bisect import insort
 from collections import deque
 from collections.abc import Iterable
 from typing import Final, NamedTuple
@@ -137,7 +138,7 @@
         sequence.attempts += 1
         sequence.prefill_left = sequence.prompt
         engine = self.engines[dispatch.engine]
-        engine.prefilling.append(sequence)
+        insort(engine.prefilling, sequence, key=lambda one: one.place)
 
     def _take(self, engine: ModelEngine, advanced: Advanced) -> None:
         for sequence in advanced.prefilled:
--- /dev/null
+++ b/cranberryrelay/policy/tests/test_policy.py
@@ -0,0 +1,239 @@
+"""Ranks, engines, roles, retries and suspects."""
+
+import random
+from collections import Counter
+from unittest import TestCase
+
+from nose2.tools import params
+
+from cranberryrelay.notes import RankRule
+from cranberryrelay.policy import (
+    Demand,
+    EngineChooser,
+    EngineRates,
+    EngineView,
+    Placement,
+    QueuedRequest,
+    RankLimiter,
+    RetryBudget,
+    RolePlanner,
+    Sent,
+    SuspectBook,
+    SuspectCrash,
+    clip_demand,
+    guarantee_slots,
+)
+
+RULES = (
+    RankRule('urgent', 1, 0.5),
+    RankRule('planned', 2, 0.3),
+    RankRule('overnight', 3, 0.1, queue=1000),
+)
+RATES = EngineRates(slots=48)
+
+
+def request(
+    ask: int, rank: str, caller: str = 'one', start_by: float = 100
+) -> QueuedRequest:
+    return QueuedRequest(ask, rank, caller, 1, 1, start_by)
+
+
+class LimiterTest(TestCase):
+    """Floors hold in floods; idle slots are lent; callers are equal."""
+
+    def fill(self, counts: dict[str, int]) -> RankLimiter:
+        limiter = RankLimiter()
+        limiter.configure(RULES, 20)
+        ask = 0
+        for rank, count in counts.items():
+            for _ in range(count):
+                ask += 1
+                limiter.offer(request(ask, rank))
+            limiter.decide(0)
+        return limiter
+
+    @params(
+        ({'overnight': 60}, {'overnight': 20}),
+        ({'overnight': 60, 'urgent': 60}, {'overnight': 20, 'urgent': 10}),
+        ({'urgent': 60, 'planned': 60}, {'urgent': 20, 'planned': 6}),
+        ({'planned': 3}, {'planned': 3}),
+    )
+    def test_slots_in_a_flood(
+        self, counts: dict[str, int], expected: dict[str, float]
+    ) -> None:
+        self.assertEqual(self.fill(counts).used, expected)
+
+    def test_borrowed_work_has_a_lower_priority(self) -> None:
+        limiter = RankLimiter()
+        limiter.configure(RULES, 20)
+        for ask in range(15):
+            limiter.offer(request(ask, 'urgent'))
+        granted = limiter.decide(0).granted
+        self.assertEqual(
+            Counter(grant.priority for grant in granted), {1: 10, 4: 5}
+        )
+
+    def test_callers_take_turns(self) -> None:
+        limiter = RankLimiter()
+        limiter.configure(RULES, 4)
+        for ask in range(6):
+            limiter.offer(request(ask, 'urgent', 'greedy'))
+        limiter.offer(request(9, 'urgent', 'modest'))
+        granted = [grant.request.ask for grant in limiter.decide(0).granted]
+        self.assertIn(9, granted[:2])
+
+    def test_full_queue_refuses(self) -> None:
+        limiter = RankLimiter()
+        limiter.configure((RankRule('urgent', 1, 0.5, queue=2),), 0)
+        taken = [limiter.offer(request(ask, 'urgent')) for ask in range(3)]
+        self.assertEqual(taken, [True, True, False])
+
+    def test_late_request_is_dropped(self) -> None:
+        limiter = RankLimiter()
+        limiter.configure(RULES, 20)
+        limiter.offer(request(1, 'urgent', start_by=5))
+        decisions = limiter.decide(6)
+        self.assertEqual([one.ask for one in decisions.expired], [1])
+
+    def test_request_waits_while_no_engine_should_take_it(self) -> None:
+        limiter = RankLimiter()
+        limiter.configure(RULES, 20)
+        limiter.offer(request(1, 'urgent'))
+        waits = limiter.decide(0, lambda one, priority: Placement.WAITS)
+        self.assertEqual((waits.granted, waits.expired), ([], []))
+        self.assertEqual(len(limiter.decide(1).granted), 1)
+
+
+class ChooserTest(TestCase):
+    """The engine that gives the first token soonest."""
+
+    def choose(self, engines: list[EngineView], prefix: str = '') -> str:
+        chooser = EngineChooser(RATES, random.Random(1))
+        chooser.prefixes.record('known', 'cached', 4000)
+        choice = chooser.choose(engines, prefix, 4000, 1)
+        assert choice is not None
+        return choice.engine
+
+    @params(
+        ('less to prefill', 'idle', '', 0, 9000),
+        ('holds the prefix', 'cached', 'known', 3000, 9000),
+    )
+    def test_choice(
+        self, name: str, expected: str, prefix: str, held: int, other: int
+    ) -> None:
+        engines = [
+            EngineView('idle', 'mixed', 0, 0, 1),
+            EngineView('cached', 'mixed', 0, held, 1),
+            EngineView('busy', 'mixed', 0, other, 1),
+        ]
+        self.assertEqual(self.choose(engines, prefix), expected, name)
+
+    def test_late_report_is_corrected_by_own_sends(self) -> None:
+        chooser = EngineChooser(RATES, random.Random(1))
+        engines = [
+            EngineView('one', 'mixed', 0, 0, 0),
+            EngineView('two', 'mixed', 0, 0, 0),
+        ]
+        chosen = set()
+        for _ in range(2):
+            choice = chooser.choose(engines, '', 4000, 0.1)
+            assert choice is not None
+            chosen.add(choice.engine)
+            chooser.record_sent(choice.engine, Sent(0.1, 4000))
+        self.assertEqual(chosen, {'one', 'two'})
+
+
+class RoleTest(TestCase):
+    """Roles follow the mix, and not its noise."""
+
+    @params(
+        ('almost all prompt', Demand(42_000, 600), 4, 5),
+        ('mostly output', Demand(3000, 4500), 0, 1),
+        ('nothing asked', Demand(0, 0), 0, 0),
+    )
+    def test_split(
+        self, name: str, demand: Demand, lowest: int, highest: int
+    ) -> None:
+        planner = RolePlanner(RATES)
+        roles = {f'engine-{number}': 'mixed' for number in range(6)}
+        for second in range(60):
+            planner.observe(demand)
+            roles = planner.plan(roles, {}, second)
+        prefill = list(roles.values()).count('prefill')
+        self.assertTrue(lowest <= prefill <= highest, (name, prefill))
+
+    def test_budget_of_the_note_is_kept(self) -> None:
+        planner = RolePlanner(RATES)
+        roles = {f'engine-{number}': 'mixed' for number in range(6)}
+        changes = 0
+        for second in range(300):
+            demand = Demand(30_000, 600)
+            if second % 40 < 20:
+                demand = Demand(3000, 4500)
+            planner.observe(demand)
+            planned = planner.plan(
+                roles, {'changes_per_ten_minutes': 3}, second
+            )
+            changes += sum(planned[name] != roles[name] for name in roles)
+            roles = planned
+        self.assertEqual(changes, 3)
+
+    def test_never_all_engines_prefill(self) -> None:
+        planner = RolePlanner(RATES)
+        roles = {'one': 'mixed', 'two': 'mixed'}
+        for second in range(60):
+            planner.observe(Demand(1_000_000, 0))
+            roles = planner.plan(roles, {}, second)
+        self.assertIn('mixed', roles.values())
+
+    def test_demand_is_clipped_to_floors(self) -> None:
+        by_rank = {
+            'urgent': Demand(800_000, 0),
+            'planned': Demand(8000, 0),
+        }
+        clipped = clip_demand(by_rank, RULES, 10, RATES)
+        self.assertAlmostEqual(clipped.prefill_tokens_per_second, 80_000)
+
+    def test_guaranteed_slots_never_exceed_the_slots(self) -> None:
+        by_rank = {
+            'urgent': Demand(0, 100_000),
+            'planned': Demand(0, 100_000),
+            'overnight': Demand(0, 100_000),
+        }
+        sure = guarantee_slots(by_rank, RULES, 6, 100, RATES)
+        self.assertLessEqual(sum(sure.values()), 100.0001)
+
+
+class SuspectTest(TestCase):
+    """A request that crashes engines costs two of them at most."""
+
+    @params((0, False, False), (1, True, False), (2, True, True))
+    def test_crashes(self, crashes: int, isolated: bool, refused: bool) -> None:
+        book = SuspectBook()
+        for number in range(crashes):
+            book.record(SuspectCrash('print', f'crash-{number}', False), 0)
+        self.assertEqual(book.must_isolate('print', 1), isolated)
+        self.assertEqual(book.must_refuse('print', 1), refused)
+
+    def test_one_crash_told_twice_counts_once(self) -> None:
+        book = SuspectBook()
+        for _ in range(5):
+            book.record(SuspectCrash('print', 'crash', False), 0)
+        self.assertFalse(book.must_refuse('print', 1))
+
+    def test_record_expires(self) -> None:
+        book = SuspectBook()
+        for number in range(2):
+            book.record(SuspectCrash('print', f'crash-{number}', False), 0)
+        self.assertFalse(book.must_refuse('print', 901))
+
+
+class RetryTest(TestCase):
+    """Retries are a part of first attempts, never a storm."""
+
+    def test_budget_runs_out(self) -> None:
+        budget = RetryBudget()
+        for _ in range(100):
+            budget.earn('caller', 'urgent')
+        spent = sum(budget.spend('caller', 'urgent') for _ in range(100))
+        self.assertTrue(3 < spent <= 13, spent)
--- a/cranberryrelay/steward/_core.py
+++ b/cranberryrelay/steward/_core.py
@@ -190,7 +190,7 @@
             load = answer.load
         for part in self.cells.values():
             if answer.upstream in part.settings:
-                part.record_load(answer.upstream, load, now)
+                part.record_load(answer.upstream, load, now, answer.models)
 
 
 @singledispatch
--- a/cranberryrelay/steward/_shell.py
+++ b/cranberryrelay/steward/_shell.py
@@ -212,8 +212,8 @@
         await self._answer(OrderAnswered(effect.engine, effect.order, outcome))
 
     async def _ask_load(self, effect: AskLoad) -> None:
-        load = await ask_load(self.client, effect.address)
-        await self._answer(LoadAnswered(effect.upstream, load))
+        answered = await ask_load(self.client, effect)
+        await self._answer(answered)
 
     def _find_upstream(self, name: str) -> str:
         for setting in self.core.settings.upstreams:
@@ -240,24 +240,23 @@
     return OrderOutcome.DONE if response.is_success else OrderOutcome.LOST
 
 
-async def ask_load(
-    client: httpx.AsyncClient, address: str
-) -> UpstreamLoad | None:
-    """Ask an upstream for its load; None when it does not answer."""
+async def ask_load(client: httpx.AsyncClient, effect: AskLoad) -> LoadAnswered:
+    """Ask an upstream for its load; without one when it does not answer."""
     try:
         response = await client.get(
-            f'http://{address}/load', timeout=LOAD_TIMEOUT_SECONDS
+            f'http://{effect.address}/load', timeout=LOAD_TIMEOUT_SECONDS
         )
     except httpx.HTTPError:
-        return None
+        return LoadAnswered(effect.upstream, None)
     if not response.is_success:
-        return None
+        return LoadAnswered(effect.upstream, None)
     report = response.json()
-    return UpstreamLoad(
+    load = UpstreamLoad(
         running=report['running'],
         waiting=report['waiting'],
         prefill_tokens=report.get('prefill_tokens', 0),
     )
+    return LoadAnswered(effect.upstream, load, report.get('models'))
 
 
 @asynccontextmanager
