Keep unknown keys out; trace calls that may not be repeated; test the account

Cause: libzmq lets every CURVE key in that knows the server's public key unless something answers its question. A steward now answers it and lets only the deployment's key connect; the demo and the deployment tests run with keys.

Traces of calls replay bookings through the real entries and stewards: a lost answer with two entries at once (refused, unresolved, run, replay: one run), a crash after the dispatch, a store outage. Both broken variants are caught.

--- a/cranberryrelay/agreement/tests/test_traces.py
+++ b/cranberryrelay/agreement/tests/test_traces.py
@@ -50,6 +50,12 @@
     'leaving upstreams are not told': {
         f'{CELL}_step_leaving': lambda upstream, context: upstream,
     },
+    'every call is booked again': {
+        'cranberryrelay.agreement._ledger.judge': always(None),
+    },
+    'bookings that were given up stay': {
+        'cranberryrelay.agreement._ledger.is_open_booking': always(False),
+    },
     'nothing is released at a stop': {
         'cranberryrelay.steward._core.StewardCore.start_leaving': always(None),
     },
@@ -93,6 +99,8 @@
             'nothing is released at a stop',
             'planned-stop-releases-everything',
         ),
+        ('every call is booked again', 'call-runs-at-most-once'),
+        ('bookings that were given up stay', 'call-runs-at-most-once'),
     )
     def test_broken_variant_is_caught(self, variant: str, name: str) -> None:
         with broken(variant), self.assertRaises(TraceMismatchError):
--- a/cranberryrelay/demo/_deployment.py
+++ b/cranberryrelay/demo/_deployment.py
@@ -20,7 +20,7 @@
     serve_standins,
 )
 from cranberryrelay.steward import make_incarnation, serve_steward
-from cranberryrelay.wire import CurveKeys
+from cranberryrelay.wire import make_keys
 
 LOOPBACK: Final = '127.0.0.1'
 
@@ -122,6 +122,7 @@
         )
         for number in range(site.instances)
     )
+    keys = make_keys()
     settings = [
         Settings(
             me=peer,
@@ -131,7 +132,7 @@
             domains=site.domains[: site.instances],
             peers=peers,
             upstreams=tuple(placed),
-            keys=CurveKeys(),
+            keys=keys,
             engine_slots=DEFAULT_ENGINE_SLOTS,
         )
         for peer in peers
--- a/cranberryrelay/steward/_program.py
+++ b/cranberryrelay/steward/_program.py
@@ -3,6 +3,7 @@
 import signal
 import sys
 import uuid
+from contextlib import ExitStack
 from typing import Any
 
 import fire
@@ -21,6 +22,7 @@
 from cranberryrelay.wire import (
     Codec,
     make_codec,
+    open_authenticator,
     open_context,
     open_peer_network,
 )
@@ -38,22 +40,29 @@
     settings: Settings, incarnation: str, stop: trio.Event
 ) -> None:
     """Run a steward until ``stop`` is set, then release what it holds."""
-    with (
-        open_context() as context,
-        open_peer_network(
-            settings.me.instance,
-            settings.me.address,
-            context,
-            settings.keys,
-            make_peer_codec(),
-        ) as network,
-    ):
+    with open_context() as context, ExitStack() as stack:
+        guard = None
+        if settings.keys.secret:
+            guard = stack.enter_context(
+                open_authenticator(context, settings.keys)
+            )
+        network = stack.enter_context(
+            open_peer_network(
+                settings.me.instance,
+                settings.me.address,
+                context,
+                settings.keys,
+                make_peer_codec(),
+            )
+        )
         async with (
             open_timer_service() as timers,
             open_object_api(settings.platform, STORE_TIMEOUT_SECONDS) as api,
             open_steward(settings, incarnation, api, network, timers) as shell,
             trio.open_nursery() as nursery,
         ):
+            if guard is not None:
+                nursery.start_soon(guard.run)
             if settings.steward_metrics_address:
                 nursery.start_soon(
                     serve_metrics,
@@ -63,6 +72,7 @@
                 )
             await stop.wait()
             await shell.leave()
+            nursery.cancel_scope.cancel()
 
 
 async def stop_on_signal(stop: trio.Event) -> None:
--- a/cranberryrelay/testkit/__init__.py
+++ b/cranberryrelay/testkit/__init__.py
@@ -36,13 +36,16 @@
 from cranberryrelay.testkit._trace import CELL as CELL
 from cranberryrelay.testkit._trace import TRACE_FOLDER as TRACE_FOLDER
 from cranberryrelay.testkit._trace import LineAction as LineAction
+from cranberryrelay.testkit._trace import PlacedCall as PlacedCall
 from cranberryrelay.testkit._trace import Replay as Replay
 from cranberryrelay.testkit._trace import Trace as Trace
 from cranberryrelay.testkit._trace import (
     TraceMismatchError as TraceMismatchError,
 )
+from cranberryrelay.testkit._trace import do_call as do_call
 from cranberryrelay.testkit._trace import do_cut as do_cut
 from cranberryrelay.testkit._trace import do_delay_orders as do_delay_orders
+from cranberryrelay.testkit._trace import do_dispatch as do_dispatch
 from cranberryrelay.testkit._trace import do_kill as do_kill
 from cranberryrelay.testkit._trace import do_leave as do_leave
 from cranberryrelay.testkit._trace import do_list as do_list
@@ -58,7 +61,9 @@
 from cranberryrelay.testkit._trace import expect_delayed as expect_delayed
 from cranberryrelay.testkit._trace import expect_left as expect_left
 from cranberryrelay.testkit._trace import expect_phase as expect_phase
+from cranberryrelay.testkit._trace import expect_runs as expect_runs
 from cranberryrelay.testkit._trace import expect_takes_work as expect_takes_work
 from cranberryrelay.testkit._trace import expect_versions as expect_versions
 from cranberryrelay.testkit._trace import load_trace as load_trace
 from cranberryrelay.testkit._trace import load_traces as load_traces
+from cranberryrelay.testkit._trace import take_verdict as take_verdict
--- a/cranberryrelay/testkit/_trace.py
+++ b/cranberryrelay/testkit/_trace.py
@@ -6,14 +6,17 @@
 each replay whether its outcome still holds.
 """
 
+from collections import Counter
 from collections.abc import Callable, Mapping
+from http import HTTPStatus
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
 import msgspec
 
-from cranberryrelay.agreement import Phase
+from cranberryrelay.agreement import Outcome, Phase, Verdict
+from cranberryrelay.entry import Ask, Book, CloseBooking, Reply
 from cranberryrelay.notes import NoteAction
 from cranberryrelay.testkit._invariants import (
     find_conflicting_orders,
@@ -21,7 +24,7 @@
     find_double_holders,
     find_stale_admissions,
 )
-from cranberryrelay.testkit._local_network import LocalNetwork
+from cranberryrelay.testkit._local_network import Instance, LocalNetwork
 from cranberryrelay.testkit._sites import make_command, make_sites
 
 TRACE_FOLDER: Final = Path('traces')
@@ -63,6 +66,19 @@
     )
 
 
+class PlacedCall(NamedTuple):
+    """A call that an entry asked to book."""
+
+    # Instance of the entry.
+    instance: str
+
+    # The booking asked for.
+    book: Book
+
+    # Line of the trace.
+    line: Mapping[str, Any]
+
+
 class Replay:
     """Replays one trace."""
 
@@ -72,6 +88,10 @@
         self.network = LocalNetwork(sites, seed=1)
         self.version = 0
         self.names: dict[str, str] = {}
+        self.asked = 0
+        self.calls: dict[int, PlacedCall] = {}
+        self.runs: Counter[str] = Counter()
+        self.verdicts: list[str] = []
 
     def run(self) -> None:
         """Do all lines; raises ``TraceMismatchError`` with the line."""
@@ -193,6 +213,61 @@
     )
 
 
+def do_call(replay: Replay, line: Mapping[str, Any]) -> None:
+    """Ask an entry to book a call; it runs once it is told to."""
+    name = replay.resolve(line['instance'])
+    instance = replay.network.instances[name]
+    replay.asked += 1
+    exchange = f'exchange-{replay.asked}'
+    book = Book(line['key'], line['body'], exchange)
+    asked = instance.entry.ask(
+        Ask(replay.asked, book), replay.network.now, replay.network.now
+    )
+    replay.calls[replay.asked] = PlacedCall(name, book, line)
+    replay.network.carry(instance, asked, by_entry=True)
+
+
+def do_dispatch(replay: Replay, line: Mapping[str, Any]) -> None:
+    """Let entries act on the ledger's verdicts."""
+    for instance in tuple(replay.network.instances.values()):
+        replies = instance.replies
+        instance.replies = []
+        for reply in replies:
+            take_verdict(replay, instance, reply)
+
+
+def take_verdict(replay: Replay, instance: Instance, reply: Reply) -> None:
+    """Run a booked call and settle it, unless its entry is to crash."""
+    call = replay.calls.pop(reply.number, None)
+    if call is None:
+        return
+    if reply.outcome.is_err():
+        replay.verdicts.append('refused')
+        return
+    verdict = reply.outcome.unwrap().verdict
+    replay.verdicts.append(str(verdict))
+    if verdict is not Verdict.RUN:
+        return
+    replay.runs[call.book.key] += 1
+    if call.line.get('crash'):
+        replay.network.kill(call.instance)
+        return
+    outcome = Outcome(HTTPStatus.OK, 'text/plain', b'done')
+    closing = CloseBooking(call.book.key, call.book.exchange, outcome)
+    asked = instance.entry.ask(
+        Ask(0, closing), replay.network.now, replay.network.now
+    )
+    replay.network.carry(instance, asked, by_entry=True)
+
+
+def expect_runs(replay: Replay, line: Mapping[str, Any]) -> None:
+    """State how often a call ran, and what its callers were told."""
+    runs = replay.runs[line['key']]
+    told = sorted(replay.verdicts)
+    if runs != line['runs'] or told != sorted(line['told']):
+        raise TraceMismatchError(f'{line} but {runs} runs, told {told}')
+
+
 def expect_admits(replay: Replay, line: Mapping[str, Any]) -> None:
     """State the revision that instances admit under; 0 for none."""
     admitted = {
@@ -266,6 +341,9 @@
         'delay-orders': do_delay_orders,
         'work': do_work,
         'list': do_list,
+        'call': do_call,
+        'dispatch': do_dispatch,
+        'expect-runs': expect_runs,
         'expect-admits': expect_admits,
         'expect-accepted': expect_accepted,
         'expect-versions': expect_versions,
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -1,5 +1,10 @@
 """Sockets between the processes and the codec of their messages."""
 
+from cranberryrelay.wire._authentication import ZAP_ADDRESS as ZAP_ADDRESS
+from cranberryrelay.wire._authentication import Authenticator as Authenticator
+from cranberryrelay.wire._authentication import (
+    open_authenticator as open_authenticator,
+)
 from cranberryrelay.wire._client import INBOX_LIMIT as INBOX_LIMIT
 from cranberryrelay.wire._client import PeerClient as PeerClient
 from cranberryrelay.wire._client import open_peer_client as open_peer_client
@@ -12,6 +17,7 @@
 from cranberryrelay.wire._sockets import HIGH_WATER_MARK as HIGH_WATER_MARK
 from cranberryrelay.wire._sockets import CurveKeys as CurveKeys
 from cranberryrelay.wire._sockets import FrameSocket as FrameSocket
+from cranberryrelay.wire._sockets import make_keys as make_keys
 from cranberryrelay.wire._sockets import open_context as open_context
 from cranberryrelay.wire._sockets import open_dealer as open_dealer
 from cranberryrelay.wire._sockets import open_router as open_router
--- a/cranberryrelay/wire/_client.py
+++ b/cranberryrelay/wire/_client.py
@@ -45,7 +45,9 @@
         dealer = self.dealers.get(address)
         if dealer is None:
             dealer = self.stack.enter_context(
-                open_dealer(self.context, address, self.keys, self.name)
+                open_dealer(
+                    self.context, address, self.keys, identity=self.name
+                )
             )
             self.dealers[address] = dealer
             self.nursery.start_soon(self._receive, dealer)
--- a/cranberryrelay/wire/_sockets.py
+++ b/cranberryrelay/wire/_sockets.py
@@ -26,6 +26,12 @@
     secret: bytes = b''
 
 
+def make_keys() -> CurveKeys:
+    """Make a pair of keys for a deployment."""
+    public, secret = zmq.curve_keypair()
+    return CurveKeys(public, secret)
+
+
 class FrameSocket:
     """A socket that one task owns."""
 
@@ -94,14 +100,18 @@
     context: 'zmq.Context[zmq.Socket[bytes]]',
     address: str,
     keys: CurveKeys,
+    server_public: bytes = b'',
     identity: str = '',
 ) -> Iterator[FrameSocket]:
-    """Open a socket to the peer at 'IP:port', with an identity if named."""
+    """Open a socket to the peer at 'IP:port', with an identity if named.
+
+    The peer has the same keys unless ``server_public`` names another one.
+    """
     socket = _make_socket(context, zmq.DEALER)
     if identity:
         socket.identity = identity.encode()
     if keys.secret:
-        socket.curve_serverkey = keys.public
+        socket.curve_serverkey = server_public or keys.public
         socket.curve_secretkey = keys.secret
         socket.curve_publickey = keys.public
     socket.connect(f'tcp://{address}')
