--- a/cranberryrelay/agreement/__init__.py
+++ b/cranberryrelay/agreement/__init__.py
@@ -36,9 +36,11 @@
 from cranberryrelay.agreement._archive import BASE_INTERVAL as BASE_INTERVAL
 from cranberryrelay.agreement._archive import BASE_KEY as BASE_KEY
 from cranberryrelay.agreement._archive import CHUNK_BYTES as CHUNK_BYTES
+from cranberryrelay.agreement._archive import CREATE_ATTEMPTS as CREATE_ATTEMPTS
 from cranberryrelay.agreement._archive import BasePointer as BasePointer
 from cranberryrelay.agreement._archive import LoadedNotes as LoadedNotes
 from cranberryrelay.agreement._archive import chunk_key as chunk_key
+from cranberryrelay.agreement._archive import create_once as create_once
 from cranberryrelay.agreement._archive import history_key as history_key
 from cranberryrelay.agreement._archive import keep_history as keep_history
 from cranberryrelay.agreement._archive import load_notes as load_notes
@@ -52,10 +54,6 @@
 from cranberryrelay.agreement._cell import (
     CELL_READ_SECONDS as CELL_READ_SECONDS,
 )
-from cranberryrelay.agreement._cell import (
-    ENGINES_PER_DRAIN as ENGINES_PER_DRAIN,
-)
-from cranberryrelay.agreement._cell import FENCE_STEP as FENCE_STEP
 from cranberryrelay.agreement._cell import (
     LEASE_MARGIN_SECONDS as LEASE_MARGIN_SECONDS,
 )
@@ -85,20 +83,9 @@
     VIEW_PUSH_SECONDS as VIEW_PUSH_SECONDS,
 )
 from cranberryrelay.agreement._cell import CellPart as CellPart
-from cranberryrelay.agreement._cell import CellRecord as CellRecord
-from cranberryrelay.agreement._cell import StepContext as StepContext
 from cranberryrelay.agreement._cell import Subscriber as Subscriber
-from cranberryrelay.agreement._cell import UpstreamRecord as UpstreamRecord
-from cranberryrelay.agreement._cell import UpstreamSetting as UpstreamSetting
-from cranberryrelay.agreement._cell import UpstreamTarget as UpstreamTarget
-from cranberryrelay.agreement._cell import advance_cell as advance_cell
 from cranberryrelay.agreement._cell import attend_cell as attend_cell
-from cranberryrelay.agreement._cell import cell_key as cell_key
-from cranberryrelay.agreement._cell import fence_number as fence_number
-from cranberryrelay.agreement._cell import is_drained as is_drained
-from cranberryrelay.agreement._cell import may_start_drain as may_start_drain
 from cranberryrelay.agreement._cell import take_cell_answer as take_cell_answer
-from cranberryrelay.agreement._cell import take_over_cell as take_over_cell
 from cranberryrelay.agreement._cell_messages import NamedLoad as NamedLoad
 from cranberryrelay.agreement._cell_messages import Phase as Phase
 from cranberryrelay.agreement._cell_messages import PlanAck as PlanAck
@@ -111,6 +98,31 @@
 from cranberryrelay.agreement._cell_messages import PlanView as PlanView
 from cranberryrelay.agreement._cell_messages import UpstreamLoad as UpstreamLoad
 from cranberryrelay.agreement._cell_messages import UpstreamView as UpstreamView
+from cranberryrelay.agreement._cell_records import FENCE_STEP as FENCE_STEP
+from cranberryrelay.agreement._cell_records import CellRecord as CellRecord
+from cranberryrelay.agreement._cell_records import (
+    UpstreamRecord as UpstreamRecord,
+)
+from cranberryrelay.agreement._cell_records import (
+    UpstreamSetting as UpstreamSetting,
+)
+from cranberryrelay.agreement._cell_records import (
+    UpstreamTarget as UpstreamTarget,
+)
+from cranberryrelay.agreement._cell_records import cell_key as cell_key
+from cranberryrelay.agreement._cell_records import fence_number as fence_number
+from cranberryrelay.agreement._cell_records import (
+    take_over_cell as take_over_cell,
+)
+from cranberryrelay.agreement._cell_steps import (
+    ENGINES_PER_DRAIN as ENGINES_PER_DRAIN,
+)
+from cranberryrelay.agreement._cell_steps import StepContext as StepContext
+from cranberryrelay.agreement._cell_steps import advance_cell as advance_cell
+from cranberryrelay.agreement._cell_steps import is_drained as is_drained
+from cranberryrelay.agreement._cell_steps import (
+    may_start_drain as may_start_drain,
+)
 from cranberryrelay.agreement._effects import Answer as Answer
 from cranberryrelay.agreement._effects import AskLoad as AskLoad
 from cranberryrelay.agreement._effects import Effect as Effect
@@ -170,6 +182,7 @@
 from cranberryrelay.agreement._ledger import apply_entry as apply_entry
 from cranberryrelay.agreement._ledger import attend_ledger as attend_ledger
 from cranberryrelay.agreement._ledger import is_open_booking as is_open_booking
+from cranberryrelay.agreement._ledger import is_unresolved as is_unresolved
 from cranberryrelay.agreement._ledger import judge as judge
 from cranberryrelay.agreement._ledger import ledger_key as ledger_key
 from cranberryrelay.agreement._ledger import partition_of as partition_of
--- a/cranberryrelay/agreement/_cell.py
+++ b/cranberryrelay/agreement/_cell.py
@@ -8,7 +8,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from functools import singledispatch
 from typing import Any, Final, NamedTuple
 
@@ -26,10 +26,18 @@
     UpstreamLoad,
     UpstreamView,
 )
+from cranberryrelay.agreement._cell_records import (
+    CellRecord,
+    UpstreamRecord,
+    UpstreamSetting,
+    UpstreamTarget,
+    cell_key,
+    take_over_cell,
+)
+from cranberryrelay.agreement._cell_steps import advance_cell
 from cranberryrelay.agreement._effects import (
     Answer,
     Effect,
-    EngineOrder,
     GiveOrder,
     OrderAnswered,
     OrderOutcome,
@@ -41,7 +49,6 @@
 )
 from cranberryrelay.agreement._plan_relay import instance_of
 from cranberryrelay.agreement._voice import (
-    LIST_LAG_SECONDS,
     AbsenceClock,
     Identity,
 )
@@ -53,8 +60,6 @@
 CELL_READ_SECONDS: Final = 1.0
 ORDER_RESEND_SECONDS: Final = 0.5
 ORDER_DELIVERY_SECONDS: Final = 10.0
-ENGINES_PER_DRAIN: Final = 4
-FENCE_STEP: Final = 1_000_000_000
 VIEW_PUSH_SECONDS: Final = 0.5
 SUBSCRIBER_SILENCES: Final = 4
 SUBSCRIBE_PLAN_SECONDS: Final = 1.0
@@ -65,79 +70,6 @@
 _NEVER: Final = float('-inf')
 
 
-class UpstreamSetting(NamedTuple):
-    """An upstream as the settings name it."""
-
-    # Name of the upstream.
-    name: str
-
-    # 'engine' or 'service'.
-    sort: str
-
-    # Cell that it belongs to; for services the service's name.
-    cell: str
-
-    # 'IP:port'.
-    address: str
-
-    # Failure domain that it is in.
-    domain: str
-
-    # True if it refuses orders with an old fencing token.
-    checks_fencing: bool
-
-
-class UpstreamTarget(NamedTuple):
-    """What an engine should be under the note in force."""
-
-    # Prefill, decode or mixed.
-    role: str
-
-    # Versions of the models to load, by model.
-    models: Mapping[str, str]
-
-
-class UpstreamRecord(NamedTuple):
-    """An upstream in the cell's object."""
-
-    # What it is doing for the cell.
-    phase: Phase
-
-    # Role that it has.
-    role: str
-
-    # Versions of the models it has, by model.
-    models: Mapping[str, str]
-
-    # Order that is planned or given; None when it serves.
-    order: EngineOrder | None = None
-
-
-class CellRecord(NamedTuple):
-    """The value of a cell's object."""
-
-    # Instance that holds the lease; empty when released.
-    holder: str
-
-    # Incarnation of the holder.
-    incarnation: str
-
-    # Fencing token; rises with each change of holder.
-    token: int
-
-    # Version of the plan; rises with each change of it.
-    version: int
-
-    # Counts renewals, so that observers see the object change.
-    renewals: int
-
-    # Former holders that are not known to have stopped.
-    former: tuple[str, ...]
-
-    # The upstreams of the cell, by name.
-    upstreams: Mapping[str, UpstreamRecord]
-
-
 class Subscriber(NamedTuple):
     """A steward that is fed with the plan."""
 
@@ -152,11 +84,6 @@
     version: int
 
 
-def cell_key(cell: str) -> str:
-    """Return the key of a cell's object."""
-    return f'cells/{cell}'
-
-
 class CellPart:
     """Holds or observes one cell; one task owns it."""
 
@@ -420,215 +347,6 @@
         )
 
 
-def take_over_cell(
-    record: CellRecord,
-    me: Identity,
-    settings: Iterable[UpstreamSetting],
-) -> CellRecord:
-    """Build the record of a new holder: a higher token, the same orders."""
-    token = record.token + 1
-    former = set(record.former)
-    if record.holder and record.incarnation != me.incarnation:
-        former.add(record.holder)
-    former.discard(me.listed.instance)
-    upstreams = {
-        one.name: UpstreamRecord(Phase.SERVING, _first_role(one), {})
-        for one in settings
-    }
-    configured = upstreams.keys() & record.upstreams.keys()
-    for name in configured:
-        upstream = record.upstreams[name]
-        fence = fence_number(token, record.version + 1)
-        upstreams[name] = _renew_order(upstream, fence)
-    return record._replace(
-        holder=me.listed.instance,
-        incarnation=me.incarnation,
-        token=token,
-        version=record.version + 1,
-        renewals=0,
-        former=tuple(sorted(former)),
-        upstreams=upstreams,
-    )
-
-
-def _first_role(setting: UpstreamSetting) -> str:
-    return 'mixed' if setting.sort == 'engine' else ''
-
-
-def fence_number(token: int, version: int) -> int:
-    """Return the fencing number of an order.
-
-    It rises with each change of holder and with each new order, so a late
-    copy of an order of the same holder is refused as well.
-    """
-    return token * FENCE_STEP + version
-
-
-def _renew_order(upstream: UpstreamRecord, fence: int) -> UpstreamRecord:
-    if upstream.order is None:
-        return upstream
-    return upstream._replace(order=upstream.order._replace(token=fence))
-
-
-def advance_cell(
-    record: CellRecord,
-    part: CellPart,
-    targets: Mapping[str, UpstreamTarget],
-    now: float,
-) -> CellRecord:
-    """Move each upstream to its next phase where that is allowed."""
-    former = tuple(
-        name
-        for name in record.former
-        if not part.absence.is_gone(name, now) and name not in part.quiet
-    )
-    upstreams: dict[str, UpstreamRecord] = {}
-    version = record.version
-    for name, upstream in record.upstreams.items():
-        leaving = name in part.absence.leaving
-        step = _step_leaving if leaving else _choose_step(upstream)
-        free = part.settings[name].checks_fencing or (
-            not former and part.deliveries_ended(name, now)
-        )
-        so_far = record._replace(upstreams={**record.upstreams, **upstreams})
-        context = StepContext(
-            name, part, targets.get(name), so_far, version + 1, now, free
-        )
-        upstreams[name] = step(upstream, context)
-        if upstreams[name] != upstream:
-            version += 1
-    return record._replace(former=former, upstreams=upstreams, version=version)
-
-
-class StepContext(NamedTuple):
-    """What the step of one upstream may look at."""
-
-    # Name of the upstream.
-    name: str
-
-    # The cell.
-    part: CellPart
-
-    # What the upstream should be; None for no opinion.
-    target: UpstreamTarget | None
-
-    # The cell's record.
-    record: CellRecord
-
-    # Version of the plan if the upstream changes.
-    next_version: int
-
-    # The time; own clock.
-    now: float
-
-    # True if a different order may be given.
-    free: bool
-
-
-def _choose_step(
-    upstream: UpstreamRecord,
-) -> Callable[[UpstreamRecord, StepContext], UpstreamRecord]:
-    steps = {
-        Phase.SERVING: _step_serving,
-        Phase.DRAINING: _step_draining,
-        Phase.ORDERED: _step_ordered,
-        Phase.LEAVING: _step_back,
-    }
-    return steps[upstream.phase]
-
-
-def _step_serving(
-    upstream: UpstreamRecord, context: StepContext
-) -> UpstreamRecord:
-    target = context.target
-    if target is None:
-        return upstream
-    if upstream.models and context.part.has_lost_models(context.name, upstream):
-        return upstream._replace(models={})
-    if (target.role, target.models) == (upstream.role, upstream.models):
-        return upstream
-    order = EngineOrder(
-        order_id=f'{context.record.token}.{context.next_version}',
-        token=fence_number(context.record.token, context.next_version),
-        role=target.role,
-        models=target.models,
-    )
-    if upstream.models and not may_start_drain(context.record):
-        return upstream
-    context.part.drain_since.pop(context.name, None)
-    return upstream._replace(phase=Phase.DRAINING, order=order)
-
-
-def may_start_drain(record: CellRecord) -> bool:
-    """Tell if one more engine may stop serving; never all at once."""
-    away = sum(
-        1
-        for upstream in record.upstreams.values()
-        if upstream.phase is not Phase.SERVING
-    )
-    return away < max(len(record.upstreams) // ENGINES_PER_DRAIN, 1)
-
-
-def _step_draining(
-    upstream: UpstreamRecord, context: StepContext
-) -> UpstreamRecord:
-    part = context.part
-    if context.name not in part.drain_since:
-        since = (context.record.version, context.now)
-        part.drain_since[context.name] = since
-    if not is_drained(context) or not context.free:
-        return upstream
-    if upstream.order is None:
-        return upstream._replace(phase=Phase.SERVING)
-    return upstream._replace(phase=Phase.ORDERED)
-
-
-def _step_ordered(
-    upstream: UpstreamRecord, context: StepContext
-) -> UpstreamRecord:
-    order = upstream.order
-    if order is None or order.order_id not in context.part.done:
-        return upstream
-    context.part.done.discard(order.order_id)
-    context.part.reported_models.pop(context.name, None)
-    if order.role != upstream.role:
-        context.part.role_changes += 1
-    return UpstreamRecord(Phase.SERVING, order.role, order.models)
-
-
-def _step_leaving(
-    upstream: UpstreamRecord, context: StepContext
-) -> UpstreamRecord:
-    return upstream._replace(phase=Phase.LEAVING, order=None)
-
-
-def _step_back(
-    upstream: UpstreamRecord, context: StepContext
-) -> UpstreamRecord:
-    return UpstreamRecord(Phase.SERVING, upstream.role, {})
-
-
-def is_drained(context: StepContext) -> bool:
-    """Tell if nothing can reach or still run on a draining upstream.
-
-    Every entry listed later than the list's lag after the drain was
-    recorded must have applied it and be done, and the upstream be idle.
-    """
-    part = context.part
-    version, since = part.drain_since[context.name]
-    if not context.record.upstreams[context.name].models:
-        return part.is_idle(context.name)
-    if part.absence.read_at - since <= LIST_LAG_SECONDS:
-        return False
-    for instance in part.absence.listed:
-        ack = part.acks.get(instance)
-        if ack is None or ack.token != context.record.token:
-            return False
-        if ack.version < version or context.name in ack.busy:
-            return False
-    return part.is_idle(context.name)
-
-
 @singledispatch
 def attend_cell(
     message: Any, part: CellPart, sender: str, now: float
--- a/cranberryrelay/agreement/tests/test_traces.py
+++ b/cranberryrelay/agreement/tests/test_traces.py
@@ -20,6 +20,7 @@
 
 TRACES = {trace.name: trace for trace in load_traces()}
 CELL = 'cranberryrelay.agreement._cell.'
+STEPS = 'cranberryrelay.agreement._cell_steps.'
 VOICE = 'cranberryrelay.agreement._voice.'
 EVIDENCE = 'cranberryrelay.agreement._evidence.'
 NETWORK = 'cranberryrelay.testkit._local_network.'
@@ -46,9 +47,9 @@
     'lease never lapses for its holder': {
         f'{CELL}CellPart.holds_lease': lambda part, now: part.holding,
     },
-    'order before everybody is done': {f'{CELL}is_drained': always(True)},
+    'order before everybody is done': {f'{STEPS}is_drained': always(True)},
     'leaving upstreams are not told': {
-        f'{CELL}_step_leaving': lambda upstream, context: upstream,
+        f'{STEPS}_step_leaving': lambda upstream, context: upstream,
     },
     'every call is booked again': {
         'cranberryrelay.agreement._ledger.judge': always(None),
--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -1,24 +1,19 @@
 """The data path: callers in, upstreams out, filter by filter."""
 
+from cranberryrelay.entry._bookings import LEDGER_SECONDS as LEDGER_SECONDS
+from cranberryrelay.entry._bookings import BookingPart as BookingPart
+from cranberryrelay.entry._bookings import PendingBooking as PendingBooking
+from cranberryrelay.entry._bookings import answer_booking as answer_booking
+from cranberryrelay.entry._bookings import refuse_booking as refuse_booking
 from cranberryrelay.entry._context import Identified as Identified
 from cranberryrelay.entry._context import Incoming as Incoming
 from cranberryrelay.entry._context import Pinned as Pinned
 from cranberryrelay.entry._context import Ranked as Ranked
 from cranberryrelay.entry._core import ACK_SECONDS as ACK_SECONDS
-from cranberryrelay.entry._core import (
-    ENGINE_REST_SECONDS as ENGINE_REST_SECONDS,
-)
 from cranberryrelay.entry._core import FOLLOWED_MESSAGES as FOLLOWED_MESSAGES
-from cranberryrelay.entry._core import LEDGER_SECONDS as LEDGER_SECONDS
-from cranberryrelay.entry._core import OVERCOMMIT as OVERCOMMIT
 from cranberryrelay.entry._core import REPORT_SECONDS as REPORT_SECONDS
 from cranberryrelay.entry._core import EntryCore as EntryCore
-from cranberryrelay.entry._core import OpenSlot as OpenSlot
-from cranberryrelay.entry._core import PendingBooking as PendingBooking
 from cranberryrelay.entry._core import answer as answer
-from cranberryrelay.entry._core import describe_capacity as describe_capacity
-from cranberryrelay.entry._core import refuse_booking as refuse_booking
-from cranberryrelay.entry._core import release_booking as release_booking
 from cranberryrelay.entry._core import take_message as take_message
 from cranberryrelay.entry._exchange import (
     CHARACTERS_PER_TOKEN as CHARACTERS_PER_TOKEN,
@@ -102,4 +97,13 @@
 from cranberryrelay.entry._service_call import ServiceCall as ServiceCall
 from cranberryrelay.entry._service_call import find_call as find_call
 from cranberryrelay.entry._service_call import run_call as run_call
+from cranberryrelay.entry._slots import (
+    ENGINE_REST_SECONDS as ENGINE_REST_SECONDS,
+)
+from cranberryrelay.entry._slots import OVERCOMMIT as OVERCOMMIT
+from cranberryrelay.entry._slots import REASSIGN_SECONDS as REASSIGN_SECONDS
+from cranberryrelay.entry._slots import OpenSlot as OpenSlot
+from cranberryrelay.entry._slots import SlotPart as SlotPart
+from cranberryrelay.entry._slots import answer_slot as answer_slot
+from cranberryrelay.entry._slots import take_plan as take_plan
 from cranberryrelay.entry._telemetry import Telemetry as Telemetry
--- a/cranberryrelay/measure/_policies.py
+++ b/cranberryrelay/measure/_policies.py
@@ -14,6 +14,7 @@
 from cranberryrelay.notes import RankRule
 from cranberryrelay.policy import (
     MIXED,
+    PACE_SECONDS,
     PREFILL,
     Demand,
     EngineChooser,
@@ -38,7 +39,6 @@
 LEVELS: Final[Mapping[str, int]] = {rank.name: rank.level for rank in RANKS}
 PREFILL_SLOTS: Final = 2
 SLOTS_PART: Final = 0.95
-PACE_SECONDS: Final = 0.4
 TARGET_PART: Final = 0.85
 DEMAND_SECONDS: Final = 8.0
 GREEDY_BACKLOG_SECONDS: Final = 1.5
--- a/cranberryrelay/policy/__init__.py
+++ b/cranberryrelay/policy/__init__.py
@@ -22,6 +22,7 @@
 from cranberryrelay.policy._limiter import (
     BORROWED_PRIORITY as BORROWED_PRIORITY,
 )
+from cranberryrelay.policy._limiter import PACE_SECONDS as PACE_SECONDS
 from cranberryrelay.policy._limiter import Decisions as Decisions
 from cranberryrelay.policy._limiter import FairQueue as FairQueue
 from cranberryrelay.policy._limiter import Grant as Grant
--- a/cranberryrelay/policy/_limiter.py
+++ b/cranberryrelay/policy/_limiter.py
@@ -16,6 +16,7 @@
 from cranberryrelay.notes import RankRule
 
 BORROWED_PRIORITY: Final = 3
+PACE_SECONDS: Final = 0.4
 
 
 class QueuedRequest(NamedTuple):
--- a/cranberryrelay/testkit/_trace.py
+++ b/cranberryrelay/testkit/_trace.py
@@ -201,7 +201,7 @@
     change = line['change']
     replay.network.engines[line['engine']].running += change
     entry = replay.network.instances[name].entry
-    entry.count_in_flight(line['engine'], change)
+    entry.slots.count_in_flight(line['engine'], change)
 
 
 def do_list(replay: Replay, line: Mapping[str, Any]) -> None:
@@ -298,7 +298,9 @@
 def expect_takes_work(replay: Replay, line: Mapping[str, Any]) -> None:
     """State whether entries may send new work to an upstream."""
     for name, instance in replay.network.instances.items():
-        serving = {one.name for one in instance.entry.find_upstreams(CELL)}
+        serving = {
+            one.name for one in instance.entry.slots.find_upstreams(CELL)
+        }
         if (line['upstream'] in serving) != line['takes']:
             raise TraceMismatchError(f'{line} but not so at {name}')
 
