Plan roles from reported demand; hand answers on from prefill engines

Entries now report demand by rank to a cell's holder, which plans roles where the release note has a record roles.CELL; an answer begun on a prefill engine is handed on after its first token to an engine that imports the KV cache.

Not measured yet: goodput of the service itself through a swing.

--- a/cranberryrelay/agreement/__init__.py
+++ b/cranberryrelay/agreement/__init__.py
@@ -86,6 +86,7 @@
 from cranberryrelay.agreement._cell import Subscriber as Subscriber
 from cranberryrelay.agreement._cell import attend_cell as attend_cell
 from cranberryrelay.agreement._cell import take_cell_answer as take_cell_answer
+from cranberryrelay.agreement._cell_messages import DemandReport as DemandReport
 from cranberryrelay.agreement._cell_messages import NamedLoad as NamedLoad
 from cranberryrelay.agreement._cell_messages import Phase as Phase
 from cranberryrelay.agreement._cell_messages import PlanAck as PlanAck
@@ -96,6 +97,7 @@
     PlanSubscribe as PlanSubscribe,
 )
 from cranberryrelay.agreement._cell_messages import PlanView as PlanView
+from cranberryrelay.agreement._cell_messages import RankDemand as RankDemand
 from cranberryrelay.agreement._cell_messages import UpstreamLoad as UpstreamLoad
 from cranberryrelay.agreement._cell_messages import UpstreamView as UpstreamView
 from cranberryrelay.agreement._cell_records import FENCE_STEP as FENCE_STEP
--- a/cranberryrelay/agreement/_catalogue.py
+++ b/cranberryrelay/agreement/_catalogue.py
@@ -4,6 +4,7 @@
 
 from cranberryrelay.agreement._account import RangesSaved, RecordRanges
 from cranberryrelay.agreement._cell_messages import (
+    DemandReport,
     PlanAck,
     PlanAlive,
     PlanLoads,
@@ -32,6 +33,7 @@
     ChangesPush,
     EvidencePush,
     MembersPush,
+    DemandReport,
     PlanAck,
     PlanAlive,
     PlanLoads,
--- a/cranberryrelay/agreement/_cell_messages.py
+++ b/cranberryrelay/agreement/_cell_messages.py
@@ -157,6 +157,29 @@
     busy: tuple[str, ...]
 
 
+class RankDemand(NamedTuple):
+    """What callers of one rank asked of a cell at one entry."""
+
+    # Name of the rank.
+    rank: str
+
+    # Prompt tokens a second, work that waits included.
+    prefill_tokens_per_second: float
+
+    # Output tokens a second, work that waits included.
+    decode_tokens_per_second: float
+
+
+class DemandReport(NamedTuple):
+    """An entry tells a cell's holder what its callers ask for."""
+
+    # Name of the cell.
+    cell: str
+
+    # Demand by rank.
+    ranks: tuple[RankDemand, ...]
+
+
 class PlanRedirect(NamedTuple):
     """An instance that does not hold a cell names the one that does."""
 
--- a/cranberryrelay/agreement/_plan_relay.py
+++ b/cranberryrelay/agreement/_plan_relay.py
@@ -4,6 +4,7 @@
 from typing import Any, Final, NamedTuple
 
 from cranberryrelay.agreement._cell_messages import (
+    DemandReport,
     PlanAck,
     PlanAlive,
     PlanLoads,
@@ -182,9 +183,13 @@
     return []
 
 
-@relay_plan.register
+@relay_plan.register(DemandReport)
+@relay_plan.register(PlanAck)
 def _(
-    message: PlanAck, relay: PlanRelay, sender: str, now: float
+    message: DemandReport | PlanAck,
+    relay: PlanRelay,
+    sender: str,
+    now: float,
 ) -> list[Effect]:
     followed = relay.followed.get(message.cell)
     if followed is None or not followed.holder:
--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -15,6 +15,9 @@
 from cranberryrelay.entry._core import EntryCore as EntryCore
 from cranberryrelay.entry._core import answer as answer
 from cranberryrelay.entry._core import take_message as take_message
+from cranberryrelay.entry._demand import DEMAND_SECONDS as DEMAND_SECONDS
+from cranberryrelay.entry._demand import Asked as Asked
+from cranberryrelay.entry._demand import DemandBook as DemandBook
 from cranberryrelay.entry._exchange import (
     CHARACTERS_PER_TOKEN as CHARACTERS_PER_TOKEN,
 )
@@ -61,6 +64,7 @@
 from cranberryrelay.entry._messages import CloseBooking as CloseBooking
 from cranberryrelay.entry._messages import EndService as EndService
 from cranberryrelay.entry._messages import EndSlot as EndSlot
+from cranberryrelay.entry._messages import HandOn as HandOn
 from cranberryrelay.entry._messages import Reassign as Reassign
 from cranberryrelay.entry._messages import Reply as Reply
 from cranberryrelay.entry._messages import SlotGiven as SlotGiven
@@ -97,6 +101,9 @@
 from cranberryrelay.entry._service_call import ServiceCall as ServiceCall
 from cranberryrelay.entry._service_call import find_call as find_call
 from cranberryrelay.entry._service_call import run_call as run_call
+from cranberryrelay.entry._slots import (
+    DEMAND_REPORT_SECONDS as DEMAND_REPORT_SECONDS,
+)
 from cranberryrelay.entry._slots import (
     ENGINE_REST_SECONDS as ENGINE_REST_SECONDS,
 )
--- a/cranberryrelay/entry/_exchange.py
+++ b/cranberryrelay/entry/_exchange.py
@@ -21,6 +21,7 @@
     AskSlot,
     Assigned,
     EndSlot,
+    HandOn,
     Reassign,
     SlotGiven,
 )
@@ -78,6 +79,7 @@
     end: int
     priority: int
     cache_scope: str
+    kv_from: str
 
 
 class TokenLine(NamedTuple):
@@ -106,6 +108,7 @@
         kind=ranked.kind,
         prefix=_digest(scope + ranked.prompt[:BLOCK_CHARACTERS]),
         prompt_tokens=len(ranked.prompt) // CHARACTERS_PER_TOKEN + 1,
+        output_tokens=ranked.tokens,
         fingerprint=_digest(scope + ranked.prompt),
         start_by=now + wait_ms / MILLISECONDS,
     )
@@ -150,35 +153,54 @@
     while True:
         body = _make_body(ranked, given.assigned, received)
         ended: AttemptFailed | None = None
-        async with aclosing(
-            run_attempt(client, given.assigned, body)
-        ) as pieces:
+        attempt = run_attempt(client, given.assigned, body)
+        async with aclosing(_limit(attempt, deadline, timers)) as pieces:
             async for piece in pieces:
                 if isinstance(piece, AttemptFailed):
                     ended = piece
-                    break
-                received += 1
-                yield piece
-                if timers.now() > deadline:
-                    ended = AttemptFailed(_late(), crashed=False)
-                    break
-        if ended is None:
+                else:
+                    received += 1
+                    yield piece
+        if ended is None and received >= ranked.tokens:
             yield WholeAnswer(received)
             return
-        ran = _worse(ran, ended.failure.ran)
-        again = await _try_again(link, given, ended, body.exchange)
+        if ended is None:
+            again = await _ask_again(link, HandOn(given.slot))
+        else:
+            ran = _worse(ran, ended.failure.ran)
+            again = await _try_again(link, given, ended, body.exchange)
         if isinstance(again, BrokenAnswer):
             yield BrokenAnswer(again.failure._replace(ran=ran))
             return
         given = again
 
 
+async def _limit(
+    attempt: AsyncGenerator[TokenText | AttemptFailed, None],
+    deadline: float,
+    timers: TimerService,
+) -> AsyncGenerator[TokenText | AttemptFailed, None]:
+    """Pass an attempt's pieces on, up to its failure or the deadline."""
+    async with aclosing(attempt) as pieces:
+        async for piece in pieces:
+            yield piece
+            if timers.now() > deadline:
+                yield AttemptFailed(_late(), crashed=False)
+                return
+
+
 async def _try_again(
     link: EntryLink, given: SlotGiven, ended: AttemptFailed, attempt: str
 ) -> SlotGiven | BrokenAnswer:
     if ended.failure.code is ResultCode.DEADLINE_PASSED:
         return BrokenAnswer(ended.failure)
-    again = await link.ask(Reassign(given.slot, ended.crashed, attempt))
+    return await _ask_again(link, Reassign(given.slot, ended.crashed, attempt))
+
+
+async def _ask_again(
+    link: EntryLink, question: Reassign | HandOn
+) -> SlotGiven | BrokenAnswer:
+    again = await link.ask(question)
     if again.is_err():
         return BrokenAnswer(again.unwrap_err())
     assigned: SlotGiven = again.unwrap()
@@ -272,9 +294,10 @@
         model=ranked.kind.model,
         prompt=ranked.prompt,
         start=received,
-        end=ranked.tokens,
+        end=received + 1 if assigned.prefill_only else ranked.tokens,
         priority=assigned.priority,
         cache_scope=ranked.identified.caller.name,
+        kv_from=assigned.kv_from,
     )
 
 
--- a/cranberryrelay/entry/_messages.py
+++ b/cranberryrelay/entry/_messages.py
@@ -44,6 +44,9 @@
     # Prompt tokens, estimated.
     prompt_tokens: int
 
+    # Output tokens wanted.
+    output_tokens: int
+
     # Digest of the caller, the kind and the prompt.
     fingerprint: str
 
@@ -66,6 +69,12 @@
     # Version of the model that the engine has loaded.
     version: str
 
+    # True if the engine only prefills and the answer is handed on.
+    prefill_only: bool = False
+
+    # 'IP:port' of the engine that has the KV cache; empty for none.
+    kv_from: str = ''
+
 
 class Reassign(NamedTuple):
     """Ask for another engine after a failed attempt."""
@@ -80,6 +89,13 @@
     exchange: str
 
 
+class HandOn(NamedTuple):
+    """Ask for an engine that decodes what another one has prefilled."""
+
+    # Number of the slot.
+    slot: int
+
+
 class EndSlot(NamedTuple):
     """Give an engine's slot back."""
 
--- a/cranberryrelay/entry/_slots.py
+++ b/cranberryrelay/entry/_slots.py
@@ -17,12 +17,14 @@
     is_newer_view,
 )
 from cranberryrelay.codes import ResultCode, fail
+from cranberryrelay.entry._demand import DemandBook
 from cranberryrelay.entry._messages import (
     AskService,
     AskSlot,
     Assigned,
     EndService,
     EndSlot,
+    HandOn,
     Reassign,
     Reply,
     SlotGiven,
@@ -31,6 +33,7 @@
 from cranberryrelay.policy import (
     ATTEMPTS_LIMIT,
     PACE_SECONDS,
+    PREFILL,
     Choice,
     EngineChooser,
     EngineRates,
@@ -48,6 +51,7 @@
 OVERCOMMIT: Final = 2.0
 ENGINE_REST_SECONDS: Final = 1.0
 REASSIGN_SECONDS: Final = 10.0
+DEMAND_REPORT_SECONDS: Final = 1.0
 _NEVER: Final = float('-inf')
 
 
@@ -75,6 +79,9 @@
     # Number of the question for another engine; 0 for the first.
     asked_again: int = 0
 
+    # 'IP:port' of the engine that has the KV cache; empty for none.
+    kv_from: str = ''
+
 
 class SlotPart:
     """The plans, slots and engines of one entry; its core owns it."""
@@ -96,10 +103,19 @@
         self.parked: dict[int, float] = {}
         self.in_flight: dict[str, int] = {}
         self.resting: dict[str, float] = {}
+        self.demand = DemandBook()
+        self.reported_at = _NEVER
 
     def on_tick(self, now: float) -> list[Effect | Reply]:
-        """Grant what may start and give up what is late."""
+        """Grant what may start, give up what is late, report demand."""
         effects = self.assign_parked(now)
+        if now - self.reported_at >= DEMAND_REPORT_SECONDS:
+            self.reported_at = now
+            waiting = list(self.waiting.values())
+            effects.extend(
+                SendPeer(self.steward, report)
+                for report in self.demand.make_reports(waiting, now)
+            )
         for cell in self.limiters:
             effects.extend(self.grant_slots(cell, now))
         return effects
@@ -193,6 +209,8 @@
             address=upstream.address,
             priority=slot.priority,
             version=upstream.models.get(slot.asked.kind.model, ''),
+            prefill_only=upstream.role == PREFILL and self._can_hand_on(slot),
+            kv_from=slot.kv_from,
         )
         answered = slot.asked_again or number
         return [Reply(answered, Ok(SlotGiven(number, assigned)))]
@@ -273,6 +291,34 @@
             slot.priority,
         )
 
+    def hand_on(
+        self, number: int, asked: int, now: float
+    ) -> list[Effect | Reply]:
+        """Find an engine that decodes what the slot's one has prefilled."""
+        slot = self.open_slots[number]
+        self.leave_engine(slot, now)
+        handed = slot._replace(
+            engine='',
+            asked_again=asked,
+            kv_from=self._address_of(slot),
+            attempts=slot.attempts - 1,
+        )
+        give_up_at = now + REASSIGN_SECONDS
+        return self.assign(number, handed, now, give_up_at)
+
+    def _address_of(self, slot: OpenSlot) -> str:
+        view = self.views[slot.cell]
+        for one in view.upstreams:
+            if one.name == slot.engine:
+                return one.address
+        return ''
+
+    def _can_hand_on(self, slot: OpenSlot) -> bool:
+        """Tell if some engine of the cell decodes."""
+        return any(
+            one.role != PREFILL for one in self.find_upstreams(slot.cell)
+        )
+
     def _find_usable(self, slot: OpenSlot, now: float) -> list[UpstreamView]:
         model = slot.asked.notes.models[slot.asked.kind.model]
         usable = [
@@ -287,6 +333,9 @@
             one for one in usable if one.models[model.name] == model.version
         ]
         usable = current or usable
+        if slot.kv_from:
+            decoding = [one for one in usable if one.role != PREFILL]
+            usable = decoding or usable
         if self.suspects.must_isolate(slot.asked.fingerprint, now):
             running = self.suspects.running
             usable = [one for one in usable if one.name not in running]
@@ -400,9 +449,17 @@
         detail = f'rank {question.rank} has too many waiting'
         return [Reply(number, Err(fail(ResultCode.QUEUE_FULL, detail)))]
     part.waiting[number] = question
+    part.demand.record(cell, question, now)
     return part.grant_slots(cell, now)
 
 
+@answer_slot.register
+def _(
+    question: HandOn, part: SlotPart, number: int, now: float
+) -> list[Effect | Reply]:
+    return part.hand_on(question.slot, number, now)
+
+
 @answer_slot.register
 def _(
     question: Reassign, part: SlotPart, number: int, now: float
@@ -418,7 +475,9 @@
         crash = SuspectCrash(asked.fingerprint, question.exchange, False)
         part.suspects.record(crash, now)
         effects.append(SendPeer(part.steward, crash))
-    failed = slot._replace(failed=slot.failed | {slot.engine}, engine='')
+    failed = slot._replace(
+        failed=slot.failed | {slot.engine}, engine='', kv_from=''
+    )
     refused = part.suspects.must_refuse(asked.fingerprint, now)
     spent = slot.attempts >= ATTEMPTS_LIMIT or not part.retries.spend(
         asked.caller, asked.rank
--- a/cranberryrelay/entry/tests/test_deployment.py
+++ b/cranberryrelay/entry/tests/test_deployment.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from typing import Any
-from unittest import TestCase
+from unittest import TestCase, mock
 
 import httpx
 import trio
@@ -27,6 +27,7 @@
     wait_serving,
 )
 from cranberryrelay.notes import NoteAction
+from cranberryrelay.policy import RolePlanner
 from cranberryrelay.standins import EngineSpeed
 from cranberryrelay.timing import TimerService, open_timer_service
 
@@ -194,6 +195,36 @@
     assert await wait_serving(bench.deployment, bench.client, bench.timers)
 
 
+def let_first_prefill(
+    planner: RolePlanner, roles: dict[str, str], rule: Any, now: float
+) -> dict[str, str]:
+    """Plan the role prefill for the first engine of a cell."""
+    planned = {name: role or 'mixed' for name, role in roles.items()}
+    return {**planned, min(planned): 'prefill'} if planned else planned
+
+
+async def hand_on_from_a_prefill_engine(bench: Bench) -> None:
+    with mock.patch.object(RolePlanner, 'plan', let_first_prefill):
+        await change_note(
+            bench.deployment,
+            NoteAction.AMEND,
+            f'{NOTE_TEXT}[set.roles.newsroom]\nprefill_max = 1\n',
+            bench.timers,
+        )
+        engines = list(bench.deployment.standins.engines.values())
+        tally = make_tally()
+        rng = random.Random(1)
+        number = 0
+        while not any(engine.imports for engine in engines):
+            number += 1
+            job = make_job(number, rng)
+            long = job._replace(prompt=job.prompt.ljust(9000, 'y'))
+            await send_job(bench.client, bench.url(), long, tally)
+    assert tally.outcomes == {'answered': number}, tally.outcomes
+    assert engines[0].role == 'prefill'
+    assert sum(engine.cut for engine in engines) == 0
+
+
 async def serve_on_after_an_instance_is_killed(bench: Bench) -> None:
     killed = bench.deployment.instances[0]
     killed.kill.cancel()
@@ -217,6 +248,7 @@
         never_pass_a_crossed_answer_on,
         contain_a_request_that_crashes_engines,
         load_again_after_every_engine_crashed,
+        hand_on_from_a_prefill_engine,
         run_a_repeated_call_once,
         run_simultaneous_calls_once,
         refuse_calls_truly_without_the_store,
--- a/cranberryrelay/measure/_overhead.py
+++ b/cranberryrelay/measure/_overhead.py
@@ -113,6 +113,7 @@
             'end': TOKENS,
             'priority': 1,
             'cache_scope': 'measure',
+            'kv_from': '',
         }
         return await self._time_lines(self.engine, body, {})
 
--- a/cranberryrelay/standins/_engine.py
+++ b/cranberryrelay/standins/_engine.py
@@ -86,6 +86,9 @@
     # Prefix reuse stays within one scope.
     cache_scope: str
 
+    # Engine that has the KV cache of the prompt, to import; empty for none.
+    kv_from: str = ''
+
 
 class TokenEvent(NamedTuple):
     """One token of an answer."""
@@ -128,6 +131,7 @@
         self.crashes = 0
         self.cached: OrderedDict[str, int] = OrderedDict()
         self.prefill_backlog = 0
+        self.imports = 0
         self.ordering = False
 
     def switch_faults(self, switches: Mapping[str, object]) -> None:
@@ -237,6 +241,9 @@
         tokens = count_tokens(request.prompt)
         key = f'{request.cache_scope}/{request.prompt[:PREFIX_CHARACTERS]}'
         uncached = tokens - min(self.cached.get(key, 0), tokens)
+        if request.kv_from:
+            self.imports += 1
+            uncached = 0
         await trio.sleep(uncached / self.speed.prefill_tokens_per_second)
         self._check_alive(incarnation)
         self.prefill_backlog = max(self.prefill_backlog - tokens, 0)
--- a/cranberryrelay/steward/_core.py
+++ b/cranberryrelay/steward/_core.py
@@ -10,6 +10,7 @@
     Answer,
     AskLoad,
     CellPart,
+    DemandReport,
     Effect,
     Identity,
     LedgerPart,
@@ -21,6 +22,7 @@
     PlanRelay,
     PlanSubscribe,
     PlanView,
+    RankDemand,
     RecordRanges,
     Reserve,
     SendPeer,
@@ -28,17 +30,26 @@
     SpreadPart,
     Subscribe,
     UpstreamLoad,
+    UpstreamRecord,
     UpstreamTarget,
     entry_of,
     find_candidates,
     partition_of,
 )
 from cranberryrelay.notes import NotesInForce
-from cranberryrelay.policy import RolePlanner, SuspectCrash
+from cranberryrelay.policy import (
+    MIXED,
+    Demand,
+    EngineRates,
+    RolePlanner,
+    SuspectCrash,
+    clip_demand,
+)
 from cranberryrelay.settings import Settings
 
 LOAD_POLL_SECONDS: Final = 0.5
 LOAD_FAILURES_LIMIT: Final = 3
+DEMAND_AGE_SECONDS: Final = 5.0
 _NEVER: Final = float('-inf')
 
 
@@ -52,6 +63,16 @@
     message: Any
 
 
+class HeardDemand(NamedTuple):
+    """What an entry said of its callers' demand."""
+
+    # When it came; own clock.
+    at: float
+
+    # Demand by rank.
+    ranks: tuple[RankDemand, ...]
+
+
 class StewardCore:
     """Everything that one steward knows and decides."""
 
@@ -62,7 +83,9 @@
         self.spread = SpreadPart(self.me, settings.peers, settings.domains)
         cells = tuple(sorted({one.cell for one in settings.upstreams}))
         self.cells = {cell: self._make_cell(cell) for cell in cells}
-        self.planners = {cell: RolePlanner() for cell in cells}
+        rates = EngineRates(slots=settings.engine_slots)
+        self.planners = {cell: RolePlanner(rates) for cell in cells}
+        self.demand: dict[str, dict[str, HeardDemand]] = {}
         self.relay = PlanRelay(self.name, cells)
         self.ledgers = {
             partition: LedgerPart(partition, incarnation)
@@ -156,17 +179,46 @@
             one.name for one in part.settings.values() if one.sort == 'engine'
         ]
         roles = {
-            name: part.record.upstreams[name].role
+            name: _role_to_be(part.record.upstreams[name])
             for name in engines
             if name in part.record.upstreams
         }
-        planned = self.planners[cell].plan(
-            roles, notes.roles.get(cell, {}), now
-        )
+        planned = roles
+        rule = notes.roles.get(cell)
+        if rule is not None:
+            planner = self.planners[cell]
+            planner.observe(self._sum_demand(cell, len(roles), notes, now))
+            planned = planner.plan(roles, rule, now)
         return {
-            name: UpstreamTarget(role, models) for name, role in planned.items()
+            name: UpstreamTarget(role or MIXED, models)
+            for name, role in planned.items()
         }
 
+    def take_demand(
+        self, report: DemandReport, sender: str, now: float
+    ) -> None:
+        """Take in what an entry's callers ask of a cell."""
+        heard = HeardDemand(now, report.ranks)
+        self.demand.setdefault(report.cell, {})[sender] = heard
+
+    def _sum_demand(
+        self, cell: str, engines: int, notes: NotesInForce, now: float
+    ) -> Demand:
+        by_rank: dict[str, Demand] = {}
+        for heard in self.demand.get(cell, {}).values():
+            if now - heard.at > DEMAND_AGE_SECONDS:
+                continue
+            for one in heard.ranks:
+                known = by_rank.get(one.rank, Demand(0, 0))
+                by_rank[one.rank] = Demand(
+                    known.prefill_tokens_per_second
+                    + one.prefill_tokens_per_second,
+                    known.decode_tokens_per_second
+                    + one.decode_tokens_per_second,
+                )
+        rates = self.planners[cell].rates
+        return clip_demand(by_rank, notes.ranks.values(), engines, rates)
+
     def _poll_loads(self, now: float) -> list[Effect]:
         if now - self.polled_at < LOAD_POLL_SECONDS:
             return []
@@ -193,6 +245,10 @@
                 part.record_load(answer.upstream, load, now, answer.models)
 
 
+def _role_to_be(upstream: UpstreamRecord) -> str:
+    return upstream.order.role if upstream.order else upstream.role
+
+
 @singledispatch
 def route_message(
     message: Any, core: StewardCore, sender: str, now: float
@@ -270,6 +326,19 @@
     return part.receive(sender, message, now) if part else []
 
 
+@route_message.register
+def _(
+    message: DemandReport, core: StewardCore, sender: str, now: float
+) -> list[Effect]:
+    part = core.cells.get(message.cell)
+    if part is not None and part.holds_lease(now):
+        core.take_demand(message, sender, now)
+        return []
+    if core.is_own_entry(sender):
+        return core.relay.receive(sender, message, now)
+    return []
+
+
 @route_message.register
 def _(
     message: PlanAck, core: StewardCore, sender: str, now: float
