Share what the two programs have in common; drain by message

Cause: both programs had the same commands, signal handling and start, the entry imported them from the steward, and its shutdown set a flag of the core from another task.

--- a/cranberryrelay/demo/_deployment.py
+++ b/cranberryrelay/demo/_deployment.py
@@ -10,6 +10,7 @@
 from cranberryrelay.agreement import UpstreamSetting
 from cranberryrelay.entry import serve_entry
 from cranberryrelay.platform import ListedInstance
+from cranberryrelay.programs import make_incarnation
 from cranberryrelay.settings import DEFAULT_ENGINE_SLOTS, Settings
 from cranberryrelay.standins import (
     EngineSpeed,
@@ -19,7 +20,7 @@
     StoreStandIn,
     serve_standins,
 )
-from cranberryrelay.steward import make_incarnation, serve_steward
+from cranberryrelay.steward import serve_steward
 from cranberryrelay.wire import make_keys
 
 LOOPBACK: Final = '127.0.0.1'
--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -68,6 +68,7 @@
 from cranberryrelay.entry._messages import Reassign as Reassign
 from cranberryrelay.entry._messages import Reply as Reply
 from cranberryrelay.entry._messages import SlotGiven as SlotGiven
+from cranberryrelay.entry._messages import StartDraining as StartDraining
 from cranberryrelay.entry._pipeline import Pipeline as Pipeline
 from cranberryrelay.entry._program import CONNECTIONS_LIMIT as CONNECTIONS_LIMIT
 from cranberryrelay.entry._program import (
@@ -81,7 +82,6 @@
     REQUEST_HEAD_BYTES_LIMIT as REQUEST_HEAD_BYTES_LIMIT,
 )
 from cranberryrelay.entry._program import DrainTrigger as DrainTrigger
-from cranberryrelay.entry._program import EntryCommands as EntryCommands
 from cranberryrelay.entry._program import main as main
 from cranberryrelay.entry._program import serve_entry as serve_entry
 from cranberryrelay.entry._program import wait_reported as wait_reported
--- a/cranberryrelay/entry/_core.py
+++ b/cranberryrelay/entry/_core.py
@@ -31,6 +31,7 @@
     Book,
     CloseBooking,
     Reply,
+    StartDraining,
 )
 from cranberryrelay.entry._slots import SlotPart, answer_slot, take_plan
 from cranberryrelay.notes import NotesInForce
@@ -180,6 +181,14 @@
     return answer_booking(question, core.bookings, number, now)
 
 
+@answer.register
+def _(
+    question: StartDraining, core: EntryCore, number: int, now: float
+) -> list[Effect | Reply]:
+    core.draining = True
+    return [Reply(number, Ok(None))]
+
+
 @answer.register
 def _(
     question: Abandon, core: EntryCore, number: int, now: float
--- a/cranberryrelay/entry/_messages.py
+++ b/cranberryrelay/entry/_messages.py
@@ -163,6 +163,10 @@
     number: int
 
 
+class StartDraining(NamedTuple):
+    """Ask to admit nothing more, because the process is to stop."""
+
+
 class Ask(NamedTuple):
     """A question to the core and the number that its answer carries."""
 
--- a/cranberryrelay/entry/_program.py
+++ b/cranberryrelay/entry/_program.py
@@ -12,16 +12,11 @@
 from cranberryrelay.entry._core import EntryCore
 from cranberryrelay.entry._http_app import make_entry_app
 from cranberryrelay.entry._link import EntryLink, open_entry_link
+from cranberryrelay.entry._messages import StartDraining
 from cranberryrelay.entry._pipeline import Pipeline
 from cranberryrelay.entry._telemetry import Telemetry
-from cranberryrelay.logs import open_logs
+from cranberryrelay.programs import ProgramCommands, make_peer_codec
 from cranberryrelay.settings import Settings
-from cranberryrelay.steward import (
-    make_incarnation,
-    make_peer_codec,
-    read_checked_settings,
-    stop_on_signal,
-)
 from cranberryrelay.timing import TimerService, open_timer_service
 from cranberryrelay.wire import open_context, open_peer_client
 
@@ -99,35 +94,12 @@
     async def wait(self) -> None:
         """Return when the server is to stop taking connections."""
         await self.stop.wait()
-        self.pipeline.link.core.draining = True
+        await self.pipeline.link.tell(StartDraining())
         await self.pipeline.timers.pause(NOT_READY_SECONDS)
         while self.pipeline.link.core.has_work():
             await self.pipeline.timers.pause(_POLL_SECONDS)
 
 
-class EntryCommands:
-    """Commands of cranberryrelay-entry."""
-
-    def run(self, path: str) -> None:
-        """Run an entry with the settings at ``path``."""
-        settings = read_checked_settings(path)
-        with open_logs('entry', settings.me.instance):
-            trio.run(_run, settings)
-
-    def check_settings(self, path: str) -> str:
-        """Check the settings at ``path`` and start nothing."""
-        read_checked_settings(path)
-        return 'settings: no fault'
-
-
-async def _run(settings: Settings) -> None:
-    stop = trio.Event()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signal, stop)
-        await serve_entry(settings, make_incarnation(), stop)
-        nursery.cancel_scope.cancel()
-
-
 def main() -> None:
     """Run the command line."""
-    fire.Fire(EntryCommands)
+    fire.Fire(ProgramCommands('entry', serve_entry))
--- /dev/null
+++ b/cranberryrelay/programs/_programs.py
@@ -0,0 +1,76 @@
+"""What the entry's and the steward's programs have in common."""
+
+import signal
+import sys
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+import trio
+
+from cranberryrelay.agreement import MESSAGE_TYPES
+from cranberryrelay.logs import open_logs
+from cranberryrelay.policy import SuspectCrash
+from cranberryrelay.settings import Settings, load_settings
+from cranberryrelay.wire import Codec, make_codec
+
+INCARNATION_DIGITS: Final = 8
+WRONG_SETTINGS_STATUS: Final = 2
+
+# Serves with settings, an incarnation and an event that stops it gracefully.
+Serve = Callable[[Settings, str, trio.Event], Awaitable[None]]
+
+
+class ProgramCommands:
+    """Commands of a program that serves with one settings file."""
+
+    def __init__(self, name: str, serve: Serve) -> None:
+        self._name = name
+        self._serve = serve
+
+    def run(self, path: str) -> None:
+        """Run with the settings at ``path`` until SIGTERM or SIGINT."""
+        settings = read_checked_settings(path)
+        with open_logs(self._name, settings.me.instance):
+            trio.run(_run_until_stopped, self._serve, settings)
+
+    def check_settings(self, path: str) -> str:
+        """Check the settings at ``path`` and start nothing."""
+        read_checked_settings(path)
+        return 'settings: no fault'
+
+
+def read_checked_settings(path: str) -> Settings:
+    """Read settings, or write their faults and exit with status 2."""
+    loaded = load_settings(path)
+    if loaded.is_err():
+        for failure in loaded.unwrap_err():
+            sys.stderr.write(f'{failure.code.value} {failure.detail}\n')
+        sys.exit(WRONG_SETTINGS_STATUS)
+    return loaded.unwrap()
+
+
+def make_incarnation() -> str:
+    """Make a name that differs at each start of a process."""
+    return uuid.uuid4().hex[:INCARNATION_DIGITS]
+
+
+def make_peer_codec() -> Codec[Any]:
+    """Make the codec of all messages between the system's processes."""
+    return make_codec([*MESSAGE_TYPES, SuspectCrash])
+
+
+async def _run_until_stopped(serve: Serve, settings: Settings) -> None:
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, stop)
+        await serve(settings, make_incarnation(), stop)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(stop: trio.Event) -> None:
+    signals = (signal.SIGTERM, signal.SIGINT)
+    with trio.open_signal_receiver(*signals) as received:
+        async for _ in received:
+            stop.set()
+            return
--- a/cranberryrelay/steward/__init__.py
+++ b/cranberryrelay/steward/__init__.py
@@ -1,28 +1,23 @@
 """The control side: watches, spreads, holds leases, plans, orders."""
 
+from cranberryrelay.steward._core import (
+    DEMAND_AGE_SECONDS as DEMAND_AGE_SECONDS,
+)
 from cranberryrelay.steward._core import (
     LOAD_FAILURES_LIMIT as LOAD_FAILURES_LIMIT,
 )
 from cranberryrelay.steward._core import LOAD_POLL_SECONDS as LOAD_POLL_SECONDS
+from cranberryrelay.steward._core import HeardDemand as HeardDemand
 from cranberryrelay.steward._core import Received as Received
 from cranberryrelay.steward._core import StewardCore as StewardCore
 from cranberryrelay.steward._core import route_message as route_message
-from cranberryrelay.steward._program import (
-    INCARNATION_DIGITS as INCARNATION_DIGITS,
-)
+from cranberryrelay.steward._metrics import StewardMetrics as StewardMetrics
+from cranberryrelay.steward._metrics import serve_metrics as serve_metrics
 from cranberryrelay.steward._program import (
     STORE_TIMEOUT_SECONDS as STORE_TIMEOUT_SECONDS,
 )
-from cranberryrelay.steward._program import StewardCommands as StewardCommands
-from cranberryrelay.steward._program import explain_faults as explain_faults
 from cranberryrelay.steward._program import main as main
-from cranberryrelay.steward._program import make_incarnation as make_incarnation
-from cranberryrelay.steward._program import make_peer_codec as make_peer_codec
-from cranberryrelay.steward._program import (
-    read_checked_settings as read_checked_settings,
-)
 from cranberryrelay.steward._program import serve_steward as serve_steward
-from cranberryrelay.steward._program import stop_on_signal as stop_on_signal
 from cranberryrelay.steward._shell import INBOX_LIMIT as INBOX_LIMIT
 from cranberryrelay.steward._shell import LEAVE_SECONDS as LEAVE_SECONDS
 from cranberryrelay.steward._shell import (
--- a/cranberryrelay/testkit/_local_network.py
+++ b/cranberryrelay/testkit/_local_network.py
@@ -46,9 +46,10 @@
     encode_revision,
 )
 from cranberryrelay.platform import ListedInstance
+from cranberryrelay.programs import make_peer_codec
 from cranberryrelay.settings import Settings
 from cranberryrelay.standins import StoreStandIn
-from cranberryrelay.steward import Received, StewardCore, make_peer_codec
+from cranberryrelay.steward import Received, StewardCore
 
 STEP_SECONDS: Final = 0.1
 HEAD_KEY: Final = 'notes/head'
