Say 'not run' only where it is proved; free slots of callers that leave

Found by reading. (1) A request that had been prefilled and then found no engine to decode was refused as not run, though an attempt had run. (2) Any refusal of an engine counted as proof that it did not run; now 404 and 503 only. (3) An engine that ends an answer early was taken for one to be handed on. (4) A question given up while the core's inbox was full could raise instead of being given back. (5) A wait for a free connection was called 'may have run'.

--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -22,6 +22,7 @@
     CHARACTERS_PER_TOKEN as CHARACTERS_PER_TOKEN,
 )
 from cranberryrelay.entry._exchange import MILLISECONDS as MILLISECONDS
+from cranberryrelay.entry._exchange import NOT_RUN_STATUSES as NOT_RUN_STATUSES
 from cranberryrelay.entry._exchange import (
     TOKEN_TIMEOUT_SECONDS as TOKEN_TIMEOUT_SECONDS,
 )
@@ -36,6 +37,11 @@
 from cranberryrelay.entry._exchange import collect_answer as collect_answer
 from cranberryrelay.entry._exchange import exchange as exchange
 from cranberryrelay.entry._exchange import make_ask as make_ask
+from cranberryrelay.entry._exchange import must_hand_on as must_hand_on
+from cranberryrelay.entry._exchange import (
+    ran_after_attempt as ran_after_attempt,
+)
+from cranberryrelay.entry._exchange import ran_after_status as ran_after_status
 from cranberryrelay.entry._exchange import run_attempt as run_attempt
 from cranberryrelay.entry._http_app import (
     BODY_BYTES_HARD_LIMIT as BODY_BYTES_HARD_LIMIT,
--- a/cranberryrelay/entry/_exchange.py
+++ b/cranberryrelay/entry/_exchange.py
@@ -9,6 +9,7 @@
 import uuid
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
+from http import HTTPStatus
 from typing import Final, NamedTuple
 
 import httpx
@@ -33,6 +34,12 @@
 TOKEN_TIMEOUT_SECONDS: Final = 5.0
 MILLISECONDS: Final = 1000
 WAIT_FACTOR: Final = 10
+NOT_RUN_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.NOT_FOUND,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 
 
 class TokenText(NamedTuple):
@@ -161,14 +168,11 @@
                 else:
                     received += 1
                     yield piece
-        if ended is None and received >= ranked.tokens:
+        if ended is None and not must_hand_on(given.assigned, body, received):
             yield WholeAnswer(received)
             return
-        if ended is None:
-            again = await _ask_again(link, HandOn(given.slot))
-        else:
-            ran = _worse(ran, ended.failure.ran)
-            again = await _try_again(link, given, ended, body.exchange)
+        ran = ran_after_attempt(ran, ended)
+        again = await _go_on(link, given, ended, body.exchange)
         if isinstance(again, BrokenAnswer):
             yield BrokenAnswer(again.failure._replace(ran=ran))
             return
@@ -189,9 +193,32 @@
                 return
 
 
-async def _try_again(
-    link: EntryLink, given: SlotGiven, ended: AttemptFailed, attempt: str
+def must_hand_on(assigned: Assigned, body: GenerateBody, received: int) -> bool:
+    """Tell if an attempt without a failure was only the answer's start.
+
+    An engine that decodes may end an answer before the last token wanted.
+    """
+    return assigned.prefill_only and received >= body.end
+
+
+def ran_after_attempt(before: Ran, ended: AttemptFailed | None) -> Ran:
+    """Say what is true of a request after one more attempt.
+
+    An attempt without a failure has run; one that failed says so itself.
+    """
+    if ended is None or Ran.MAY_HAVE_RUN in {before, ended.failure.ran}:
+        return Ran.MAY_HAVE_RUN
+    return Ran.NOT_RUN
+
+
+async def _go_on(
+    link: EntryLink,
+    given: SlotGiven,
+    ended: AttemptFailed | None,
+    attempt: str,
 ) -> SlotGiven | BrokenAnswer:
+    if ended is None:
+        return await _ask_again(link, HandOn(given.slot))
     if ended.failure.code is ResultCode.DEADLINE_PASSED:
         return BrokenAnswer(ended.failure)
     return await _ask_again(link, Reassign(given.slot, ended.crashed, attempt))
@@ -207,12 +234,6 @@
     return assigned
 
 
-def _worse(before: Ran, after: Ran) -> Ran:
-    if Ran.MAY_HAVE_RUN in {before, after}:
-        return Ran.MAY_HAVE_RUN
-    return Ran.NOT_RUN
-
-
 async def run_attempt(
     client: httpx.AsyncClient, assigned: Assigned, body: GenerateBody
 ) -> AsyncGenerator[TokenText | AttemptFailed, None]:
@@ -239,6 +260,11 @@
         yield AttemptFailed(failed, crashed=started)
 
 
+def ran_after_status(status: int) -> Ran:
+    """Say what an engine's refusal proves: two of them that it did not run."""
+    return Ran.NOT_RUN if status in NOT_RUN_STATUSES else Ran.MAY_HAVE_RUN
+
+
 async def _read_tokens(
     response: httpx.Response, body: GenerateBody
 ) -> AsyncGenerator[TokenText | AttemptFailed, None]:
--- a/cranberryrelay/entry/_link.py
+++ b/cranberryrelay/entry/_link.py
@@ -59,7 +59,8 @@
         try:
             outcome: Result[Any, Failure] = await receiver.receive()
         except trio.Cancelled:
-            self.outside.send_nowait(Ask(0, Abandon(number)))
+            with trio.CancelScope(shield=True):
+                await self.outside.send(Ask(0, Abandon(number)))
             raise
         return outcome
 
--- a/cranberryrelay/entry/_replies.py
+++ b/cranberryrelay/entry/_replies.py
@@ -62,7 +62,8 @@
     ranked: Ranked, text: str, ended: WholeAnswer, headers: dict[str, str]
 ) -> Response:
     """Answer with a whole completion."""
-    choice: dict[str, Any] = {'index': 0, 'finish_reason': 'length'}
+    reason = _finish_reason(ranked, ended)
+    choice: dict[str, Any] = {'index': 0, 'finish_reason': reason}
     if ranked.chat:
         choice['message'] = {'role': 'assistant', 'content': text}
     else:
@@ -97,10 +98,15 @@
     if isinstance(piece, BrokenAnswer):
         problem = describe_problem(piece.failure, headers)
         return b'event: error\ndata: %b\n\n' % problem
-    last = _encode_event(_make_chunk(ranked, '', 'length'))
+    reason = _finish_reason(ranked, piece)
+    last = _encode_event(_make_chunk(ranked, '', reason))
     return b''.join((last, _STREAM_END))
 
 
+def _finish_reason(ranked: Ranked, ended: WholeAnswer) -> str:
+    return 'length' if ended.tokens >= ranked.tokens else 'stop'
+
+
 def _make_chunk(
     ranked: Ranked, text: str, finish_reason: str | None
 ) -> dict[str, Any]:
--- a/cranberryrelay/entry/_service_call.py
+++ b/cranberryrelay/entry/_service_call.py
@@ -28,7 +28,11 @@
 
 KEY_HEADER: Final = 'idempotency-key'
 SERVICE_PREFIX: Final = '/services/'
-_NOT_SENT: Final = (httpx.ConnectError, httpx.ConnectTimeout)
+_NOT_SENT: Final = (
+    httpx.ConnectError,
+    httpx.ConnectTimeout,
+    httpx.PoolTimeout,
+)
 
 
 class ServiceCall(NamedTuple):
--- a/cranberryrelay/entry/tests/test_deployment.py
+++ b/cranberryrelay/entry/tests/test_deployment.py
@@ -225,6 +225,30 @@
     assert sum(engine.cut for engine in engines) == 0
 
 
+async def free_the_engine_when_a_caller_leaves(bench: Bench) -> None:
+    body = {
+        'model': 'tags',
+        'prompt': 'a long answer',
+        'max_tokens': 1000,
+        'stream': True,
+    }
+    for _ in range(5):
+        async with bench.client.stream(
+            'POST',
+            f'{bench.url()}/v1/completions',
+            json=body,
+            headers=HEADERS,
+        ) as response:
+            lines = response.aiter_lines()
+            assert await anext(lines)
+    stopped = bench.deployment.instances[0]
+    stopped.stop_entry.set()
+    with trio.fail_after(60):
+        await stopped.ended.wait()
+    engines = bench.deployment.standins.engines.values()
+    assert sum(len(engine.running) for engine in engines) == 0
+
+
 async def serve_on_after_an_instance_is_killed(bench: Bench) -> None:
     killed = bench.deployment.instances[0]
     killed.kill.cancel()
