--- a/cranberryrelay/entry/tests/test_deployment.py
+++ b/cranberryrelay/entry/tests/test_deployment.py
@@ -11,7 +11,10 @@
 import httpx
 import trio
 from nose2.tools import params
+from result import Result
 
+from cranberryrelay.agreement import Published, publish
+from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.demo import (
     NOTE_TEXT,
     Deployment,
@@ -26,7 +29,12 @@
     start_instance,
     wait_serving,
 )
-from cranberryrelay.notes import NoteAction
+from cranberryrelay.notes import (
+    NoteAction,
+    NoteCommand,
+    parse_release_note,
+)
+from cranberryrelay.platform import open_object_api
 from cranberryrelay.policy import RolePlanner
 from cranberryrelay.standins import EngineSpeed
 from cranberryrelay.timing import TimerService, open_timer_service
@@ -38,6 +46,7 @@
     services={'subscriptions': 1},
 )
 SPEED = EngineSpeed(step_seconds=0.005, order_seconds=0.1)
+DOMAIN_COUNT = 3
 HEADERS = {'Authorization': 'Bearer builders'}
 
 
@@ -249,6 +258,44 @@
     assert sum(len(engine.running) for engine in engines) == 0
 
 
+async def amend_once(
+    bench: Bench, operation: str, outcomes: list[Result[Published, Failure]]
+) -> None:
+    """Amend the note as one operator; keep what became of it."""
+    text = NOTE_TEXT.replace('floor = 0.3', 'floor = 0.25')
+    content = parse_release_note(text).unwrap()
+    command = NoteCommand(
+        NoteAction.AMEND, content.name, content, operation, operation, 0
+    )
+    async with open_object_api(bench.deployment.platform, 1.0) as api:
+        outcomes.append(
+            await publish(api, command, DOMAIN_COUNT, bench.timers, 20)
+        )
+
+
+async def let_one_of_two_operators_win(bench: Bench) -> None:
+    outcomes: list[Result[Published, Failure]] = []
+    async with trio.open_nursery() as nursery:
+        for operator in ('anna', 'boris'):
+            nursery.start_soon(amend_once, bench, operator, outcomes)
+    won = [one.unwrap() for one in outcomes if one.is_ok()]
+    lost = [one.unwrap_err() for one in outcomes if one.is_err()]
+    codes = {failure.code for failure in lost}
+    revisions = sorted(one.record.revision for one in won)
+    assert codes <= {ResultCode.NOTE_CONFLICT}, lost
+    assert revisions == list(range(2, 2 + len(won))), revisions
+    assert all(one.accepted for one in won)
+
+
+async def settle_a_lost_answer(bench: Bench) -> None:
+    bench.deployment.standins.store.switch_faults({'lost_answers': 1})
+    outcomes: list[Result[Published, Failure]] = []
+    await amend_once(bench, 'anna', outcomes)
+    published = outcomes[0].unwrap()
+    assert published.record.revision == 2, published
+    assert published.accepted
+
+
 async def serve_on_after_an_instance_is_killed(bench: Bench) -> None:
     killed = bench.deployment.instances[0]
     killed.kill.cancel()
@@ -273,6 +320,9 @@
         contain_a_request_that_crashes_engines,
         load_again_after_every_engine_crashed,
         hand_on_from_a_prefill_engine,
+        free_the_engine_when_a_caller_leaves,
+        let_one_of_two_operators_win,
+        settle_a_lost_answer,
         run_a_repeated_call_once,
         run_simultaneous_calls_once,
         refuse_calls_truly_without_the_store,
