--- a/cranberryrelay/operators/_program.py
+++ b/cranberryrelay/operators/_program.py
@@ -196,8 +196,8 @@
         )
         if not published.accepted:
             recorded = ResultCode.NOTE_RECORDED_ONLY
-            detail = 'it may take effect; see status'
-            self._exit(fail(recorded, detail))
+            failure = fail(recorded, 'it may take effect; see status')
+            self._exit(failure, told=True)
 
     def _read_note(self, path: str) -> NoteContent:
         try:
@@ -245,9 +245,10 @@
             text = msgspec.json.encode(plain).decode()
         sys.stdout.write(f'{text}\n')
 
-    def _exit(self, failure: Failure) -> None:
+    def _exit(self, failure: Failure, *, told: bool = False) -> None:
+        """Exit with a failure; ``told`` if JSON was written already."""
         title = CODE_TABLE[failure.code].title
-        if self.json:
+        if self.json and not told:
             plain = {'code': failure.code.value, 'detail': failure.detail}
             sys.stdout.write(f'{msgspec.json.encode(plain).decode()}\n')
         sys.stderr.write(f'{failure.code.value} {title}: {failure.detail}\n')
