--- a/cranberryrelay/agreement/_effects.py
+++ b/cranberryrelay/agreement/_effects.py
@@ -92,7 +92,6 @@
     """How an engine took an order."""
 
     DONE = 'done'
-    RUNNING = 'running'
     FENCED = 'fenced'
     LOST = 'lost'
 
--- a/cranberryrelay/agreement/_evidence.py
+++ b/cranberryrelay/agreement/_evidence.py
@@ -61,10 +61,6 @@
         sent_at = self.sent_by_revision.get(applied)
         return None if sent_at is None else Evidence(sent_at, applied)
 
-    def highest_revision(self) -> int:
-        """Return the highest revision that any evidence showed."""
-        return max(self.sent_by_revision, default=0)
-
     def merge_up_to(self, applied: int) -> None:
         """Merge evidence for lower revisions into ``applied``."""
         lower = [
--- a/cranberryrelay/entry/_exchange.py
+++ b/cranberryrelay/entry/_exchange.py
@@ -5,7 +5,6 @@
 engine after the tokens that the caller already has.
 """
 
-import hashlib
 import uuid
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
@@ -26,6 +25,7 @@
     Reassign,
     SlotGiven,
 )
+from cranberryrelay.notes import digest_text
 from cranberryrelay.policy import BLOCK_CHARACTERS
 from cranberryrelay.records import decode_record, encode_record
 from cranberryrelay.timing import TimerService, limit_time
@@ -113,10 +113,10 @@
         weight=caller.weight,
         rank=ranked.rank.name,
         kind=ranked.kind,
-        prefix=_digest(scope + ranked.prompt[:BLOCK_CHARACTERS]),
+        prefix=digest_text(scope + ranked.prompt[:BLOCK_CHARACTERS]),
         prompt_tokens=len(ranked.prompt) // CHARACTERS_PER_TOKEN + 1,
         output_tokens=ranked.tokens,
-        fingerprint=_digest(scope + ranked.prompt),
+        fingerprint=digest_text(scope + ranked.prompt),
         start_by=now + wait_ms / MILLISECONDS,
     )
 
@@ -335,10 +335,6 @@
     return 1 if level == 1 else WAIT_FACTOR
 
 
-def _digest(text: str) -> str:
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
 async def collect_answer(
     pieces: AsyncIterator[Piece],
 ) -> tuple[str, WholeAnswer | BrokenAnswer]:
--- a/cranberryrelay/entry/_identify.py
+++ b/cranberryrelay/entry/_identify.py
@@ -1,12 +1,12 @@
 """The filter that finds out who asks; only hashes of tokens are kept."""
 
-import hashlib
 from typing import Final
 
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
 from cranberryrelay.entry._context import Identified, Pinned
+from cranberryrelay.notes import digest_text
 
 HEADER_BYTES_LIMIT: Final = 16_384
 _SCHEME: Final = 'bearer'
@@ -26,7 +26,7 @@
         detail = f'keep the body under {pinned.notes.body_bytes} bytes'
         return Err(fail(ResultCode.BODY_TOO_LARGE, detail))
     scheme, _, token = incoming.headers.get('authorization', '').partition(' ')
-    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    digest = digest_text(token.strip())
     caller = pinned.notes.callers.get(digest)
     if scheme.lower() != _SCHEME or caller is None:
         detail = 'send Authorization: Bearer TOKEN'
--- a/cranberryrelay/measure/_policy_report.py
+++ b/cranberryrelay/measure/_policy_report.py
@@ -39,7 +39,6 @@
 )
 SITES: Final = (('newsroom', 6), ('menus', 9))
 MEASURED_FOLDER: Final = Path('measured')
-PERCENTILES: Final = (50, 95, 99)
 _HUNDRED: Final = 100
 
 MakePolicy = Callable[[Mapping[str, WorkKind], EngineRates], Policy]
--- a/cranberryrelay/notes/__init__.py
+++ b/cranberryrelay/notes/__init__.py
@@ -50,7 +50,6 @@
 from cranberryrelay.notes._release_note import NoteContent as NoteContent
 from cranberryrelay.notes._release_note import NoteFault as NoteFault
 from cranberryrelay.notes._release_note import RecordFields as RecordFields
-from cranberryrelay.notes._release_note import as_failure as as_failure
 from cranberryrelay.notes._release_note import locate_line as locate_line
 from cranberryrelay.notes._release_note import (
     parse_release_note as parse_release_note,
--- a/cranberryrelay/notes/_release_note.py
+++ b/cranberryrelay/notes/_release_note.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.codes import ResultCode
 from cranberryrelay.notes._schema import SECTIONS
 
 NOTE_BYTES_LIMIT: Final = 262_144
@@ -68,11 +68,6 @@
     return Ok(_build_content(document))
 
 
-def as_failure(fault: NoteFault) -> Failure:
-    """Turn a fault of a text into the error value that travels."""
-    return fail(fault.code, f'line {fault.line}, {fault.key}: {fault.detail}')
-
-
 def _build_content(document: Mapping[str, Any]) -> NoteContent:
     added = {
         f'{section}.{name}': fields
--- a/cranberryrelay/policy/_choice.py
+++ b/cranberryrelay/policy/_choice.py
@@ -120,10 +120,6 @@
         for holders in self.holders.values():
             holders.pop(engine, None)
 
-    def forget(self, key: str, engine: str) -> None:
-        """Drop one prefix of an engine, after it was evicted."""
-        self.holders.get(key, {}).pop(engine, None)
-
     def find(self, key: str) -> dict[str, int]:
         """Return the cached tokens by engine for a prefix."""
         return self.holders.get(key, {})
