Answer in order when an upstream's headers come after the deadline

Change: a block that is given no time ends where it would first wait, so that the request ends as UPSTREAM_TIMEOUT. Test with 0.05, 0 and -0.05 s: the last row failed before.

--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -1,5 +1,6 @@
 """Answers of upstreams that belong to other requests, or to none."""
 
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from typing import NamedTuple
 from unittest import TestCase
@@ -11,7 +12,11 @@
 from cranberryrelay.codes import Ran, ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import UpstreamCall
-from cranberryrelay.relay._upstream_call import open_answer
+from cranberryrelay.relay._upstream_call import (
+    OpenAnswer,
+    open_answer,
+    read_whole,
+)
 from cranberryrelay.relay.tests.fixtures import make_arrival
 
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
@@ -89,3 +94,25 @@
             return (failure.code, failure.ran) if failure else (None, None)
 
         self.assertEqual(trio.run(scenario), (case.code, case.ran))
+
+
+class ReadWholeTest(TestCase):
+    """Bodies that are not complete when the time is up."""
+
+    @params(0.05, 0, -0.05)
+    def test_time_is_up(self, left_seconds: float) -> None:
+        async def read() -> None:
+            response = httpx.Response(200, content=wait_for_ever())
+            marks = TargetDialect().read_marks(200, [])
+            answer = OpenAnswer(200, marks, response)
+            body = await read_whole(answer, left_seconds)
+            code = body.unwrap_err().code
+            self.assertEqual(code, ResultCode.UPSTREAM_TIMEOUT)
+
+        trio.run(read)
+
+
+async def wait_for_ever() -> AsyncIterator[bytes]:
+    """Yield the start of a body that does not end."""
+    yield b'start'
+    await trio.sleep_forever()
--- a/cranberryrelay/timing/_timer_service.py
+++ b/cranberryrelay/timing/_timer_service.py
@@ -74,6 +74,9 @@
 
 @contextmanager
 def limit_time(seconds: float) -> Iterator[trio.CancelScope]:
-    """Cancel the block after ``seconds``; the scope tells if it was."""
-    with trio.move_on_after(seconds) as scope:
+    """Cancel the block after ``seconds``; the scope tells if it was.
+
+    With no time left, the block ends where it would first wait.
+    """
+    with trio.move_on_after(max(seconds, 0)) as scope:
         yield scope
