Let one instance a failure domain speak for the others above 16 instances

Change: a roster names the first living instance of each failure domain its hub, without an election: each instance asks the first names in order until one answers. Members send their beats to the hub; it tells each member of the work of all others, and the hubs of other failure domains of its own as a sum. Members watch the store only while no hub is heard, while the hub is ahead of them for a second, or (the first three names) while no hub is in touch with it. Up to 16 instances nothing changes. Duties with one holder fall to the first hub. What a peer shares now completes what is known, so that it is not sent again; an entry that lapsed and came back is no longer dropped by a share that names both (test fails before); removals remembered are bounded.

--- a/cranberryrelay/relay/_backlog.py
+++ b/cranberryrelay/relay/_backlog.py
@@ -5,6 +5,7 @@
 of a new one is all that was sent before and has not ended.
 """
 
+from collections.abc import Container
 from typing import Final, NamedTuple
 
 # Age at which what a peer told is no longer counted, in seconds.
@@ -24,6 +25,9 @@
     # Requests that run there.
     running: int
 
+    # The most of ``reading_ms`` that one instance has sent, in ms.
+    largest_ms: int
+
 
 class Sent(NamedTuple):
     """A call that was sent and has not ended."""
@@ -47,6 +51,7 @@
         self.own: dict[str, list[Sent]] = {}
         self.peers: dict[str, _PeerLoads] = {}
         self.changes = 0
+        self.heard = 0
 
     def add(self, upstream: str, sent: Sent) -> None:
         """Count a call that was sent."""
@@ -72,6 +77,7 @@
     def hear(self, peer: str, loads: dict[str, EngineLoad], now: float) -> None:
         """Take over what a peer tells of its own sends."""
         self.peers[peer] = _PeerLoads(loads, now)
+        self.heard += 1
 
     def forget_peer(self, peer: str) -> None:
         """Forget a peer that is gone."""
@@ -89,18 +95,46 @@
         loads = self._loads(upstream, now)
         total = sum(load.reading_ms for load in loads)
         progress = max((load.oldest_ms for load in loads), default=0)
-        longest = max((load.reading_ms for load in loads), default=0)
+        longest = max((load.largest_ms for load in loads), default=0)
         return max(total - min(progress, longest), 0) / _MILLISECONDS
 
-    def _loads(self, upstream: str, now: float) -> list[EngineLoad]:
+    def combine(
+        self, now: float, peers: Container[str]
+    ) -> dict[str, EngineLoad]:
+        """Return own loads and those of some peers as if of one instance."""
+        loads = self.summarize(now)
+        for name, peer in self.peers.items():
+            age = now - peer.heard_at
+            if name not in peers or age >= PEER_TTL_SECONDS:
+                continue
+            for upstream, load in peer.loads.items():
+                aged = _age(load, age)
+                known = loads.get(upstream)
+                loads[upstream] = _add(known, aged) if known else aged
+        return loads
+
+    def combine_without(self, peer: str, now: float) -> dict[str, EngineLoad]:
+        """Return the loads of all others for what a peer has sent work to."""
+        told = self.peers.get(peer)
+        upstreams = told.loads if told else {}
+        combined: dict[str, EngineLoad] = {}
+        for upstream in upstreams:
+            combined[upstream] = EngineLoad(0, 0, 0, 0)
+            for load in self._loads(upstream, now, peer):
+                combined[upstream] = _add(combined[upstream], load)
+        return combined
+
+    def _loads(
+        self, upstream: str, now: float, left_out: str = ''
+    ) -> list[EngineLoad]:
         loads: list[EngineLoad] = []
         own = self.own.get(upstream)
         if own:
             loads.append(_summarize(own, now))
-        for peer in self.peers.values():
+        for name, peer in self.peers.items():
             age = now - peer.heard_at
             load = peer.loads.get(upstream)
-            if load and age < PEER_TTL_SECONDS:
+            if load and age < PEER_TTL_SECONDS and name != left_out:
                 loads.append(_age(load, age))
         return loads
 
@@ -115,12 +149,23 @@
     return load._replace(oldest_ms=load.oldest_ms + _to_ms(age))
 
 
+def _add(known: EngineLoad, other: EngineLoad) -> EngineLoad:
+    return EngineLoad(
+        reading_ms=known.reading_ms + other.reading_ms,
+        oldest_ms=max(known.oldest_ms, other.oldest_ms),
+        running=known.running + other.running,
+        largest_ms=max(known.largest_ms, other.largest_ms),
+    )
+
+
 def _summarize(calls: list[Sent], now: float) -> EngineLoad:
     reading = [call for call in calls if call.reading]
+    reading_ms = _to_ms(sum(call.reading for call in reading))
     return EngineLoad(
-        reading_ms=_to_ms(sum(call.reading for call in reading)),
+        reading_ms=reading_ms,
         oldest_ms=_to_ms(
             max((now - call.sent_at for call in reading), default=0)
         ),
         running=len(calls),
+        largest_ms=reading_ms,
     )
--- a/cranberryrelay/relay/_followers.py
+++ b/cranberryrelay/relay/_followers.py
@@ -18,6 +18,10 @@
 WATCH_SECONDS: Final = 25.0
 FIRST_PAUSE_SECONDS: Final = 0.1
 LONGEST_PAUSE_SECONDS: Final = 0.8
+
+# How often it is looked up whether to watch, in seconds; a small part of the
+# time in which a change must be in force.
+LOOK_SECONDS: Final = 0.2
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -33,6 +37,12 @@
     # Takes what has changed.
     on_change: Callable[[RecordChange], None]
 
+    # Takes the kind, and whether the store answers.
+    on_contact: Callable[[str, bool], None]
+
+    # Tells if this instance is to watch; others tell it what changes if not.
+    needs_watch: Callable[[], bool]
+
 
 class KindFollower:
     """Keeps up with the records of one kind."""
@@ -66,6 +76,8 @@
     async def watch(self) -> None:
         """Watch until the history of changes is gone."""
         while True:
+            while not self.sink.needs_watch():
+                await self.timers.pause(LOOK_SECONDS)
             changed = await self.store.watch_kind(
                 self.sink.kind, self.revision, WATCH_SECONDS
             )
@@ -94,6 +106,7 @@
                 extra={'kind': self.sink.kind, 'failures': self.failures},
             )
         self.failures = 0
+        self.sink.on_contact(self.sink.kind, True)
 
     async def rest(self, failure: Failure) -> None:
         """Wait before the next call, longer with each failure."""
@@ -106,6 +119,7 @@
                     'detail': failure.detail,
                 },
             )
+        self.sink.on_contact(self.sink.kind, False)
         longest = FIRST_PAUSE_SECONDS * 2 ** min(self.failures, 6)
         self.failures += 1
         pause = min(longest, LONGEST_PAUSE_SECONDS)
--- a/cranberryrelay/relay/_knowledge.py
+++ b/cranberryrelay/relay/_knowledge.py
@@ -131,10 +131,18 @@
         if known and known.revision > revision:
             return
         self.entries.pop(name, None)
-        self.removed_at[name] = revision
-        self.removals.append(Removal(name, revision))
+        self.note_removal(Removal(name, revision))
         self.state.remove_upstream(name, source)
 
+    def note_removal(self, removal: Removal) -> None:
+        """Remember what is gone; forget the oldest beyond the limit."""
+        if len(self.removals) == REMOVALS_LIMIT:
+            oldest = self.removals.popleft()
+            if self.removed_at.get(oldest.name) == oldest.revision:
+                self.removed_at.pop(oldest.name)
+        self.removed_at[removal.name] = removal.revision
+        self.removals.append(removal)
+
     def advance(self, revision: int) -> None:
         """Note up to which revision the upstreams are known."""
         self.upstream_revision = max(self.upstream_revision, revision)
@@ -162,8 +170,15 @@
             for record in self.entries.values()
             if record.revision > after
         ]
-        removed = [one.name for one in self.removals if one.revision > after]
-        return UpstreamShare(changed, removed, self.upstream_revision)
+        removed = [
+            one.name
+            for one in self.removals
+            if one.revision > after and one.name not in self.entries
+        ]
+        if len(self.removals) == REMOVALS_LIMIT:
+            # Removals before the first one kept may be missing.
+            after = max(after, self.removals[0].revision)
+        return UpstreamShare(changed, removed, after, self.upstream_revision)
 
     def hear_note(self, share: NoteShare) -> None:
         """Take a release note from a peer."""
@@ -171,10 +186,18 @@
         self.put_note(record, FROM_PEER)
 
     def hear_upstreams(self, share: UpstreamShare) -> None:
-        """Take changes of upstreams from a peer."""
+        """Take changes of upstreams from a peer.
+
+        They complete what is known if they begin where that ends.
+        """
         for name, revision, value in share.changed:
             self.put_upstream(KindRecord(name, revision, value), FROM_PEER)
         for name in share.removed:
             self.drop_upstream(name, share.revision, FROM_PEER)
+        if (
+            self.state.listed_upstreams
+            and share.after <= self.upstream_revision
+        ):
+            self.advance(share.revision)
         if share.changed:
             self.state.listed_upstreams = True
--- a/cranberryrelay/relay/_note_archive.py
+++ b/cranberryrelay/relay/_note_archive.py
@@ -11,7 +11,7 @@
 from result import Err, Result
 
 from cranberryrelay.codes import Failure, ResultCode
-from cranberryrelay.relay._peers import PeerTalk
+from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._records import RecordStore
 from cranberryrelay.timing import TimerService
 
@@ -41,10 +41,11 @@
     """Writes notes that came into force."""
 
     def __init__(
-        self, store: RecordStore, talk: PeerTalk, timers: TimerService
+        self, store: RecordStore, duties: Duties, timers: TimerService
     ) -> None:
         self.store = store
-        self.talk = talk
+        self.talk = duties.talk
+        self.duties = duties
         self.timers = timers
         self.waiting: dict[int, WaitingNote] = {}
         self.seen = -1
@@ -71,7 +72,7 @@
 
     def find_due(self, now: float) -> list[int]:
         """Return the revisions to write now; forget those that others write."""
-        place = sum(name < self.talk.name for name in self.talk.live_names())
+        place = self.duties.place()
         if place >= WRITERS:
             self.waiting.clear()
             return []
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -4,19 +4,17 @@
 
 from cranberryrelay.relay._backlog import EngineLoad
 from cranberryrelay.relay._prefix_index import CachedPart
+from cranberryrelay.relay._roster import Place
 
 
 class Hello(NamedTuple):
     """Makes an instance known to another; answered by a hello."""
 
-    # 'IP:port' of the sender's messages.
-    address: str
-
-    # Failure domain of the sender.
-    domain: str
+    # Where the sender is.
+    place: Place
 
-    # Addresses of the instances that the sender knows, by name.
-    known: dict[str, str]
+    # Instances that the receiver may not know, by name.
+    known: dict[str, Place]
 
     # True if an answer is wanted.
     answer: bool
@@ -41,6 +39,33 @@
     upstream_revision: int
 
 
+class GroupBeat(NamedTuple):
+    """What a hub tells its members and the hubs of other failure domains."""
+
+    # To a member: work sent by all others.  To a hub: by the sender's failure
+    # domain.
+    loads: dict[str, EngineLoad]
+
+    # Parts that engines were given to read since the beat before.
+    parts: list[CachedPart]
+
+    # Upstreams that could not be reached since the beat before.
+    unreachable: list[str]
+
+    # Revision of the release note in force at the sender.
+    revision: int
+
+    # Revision of the store up to which the sender knows the upstreams.
+    upstream_revision: int
+
+    # Living instances.  To a member: of the fleet.  To a hub: of the sender's
+    # failure domain.
+    instances: int
+
+    # True if the store answers the sender or another hub.
+    in_touch: bool
+
+
 class NoteShare(NamedTuple):
     """The release note in force at the sender, as the store holds it."""
 
@@ -57,6 +82,9 @@
     # Names of entries that were removed.
     removed: list[str]
 
+    # Revision of the store after which these are all changes.
+    after: int
+
     # Revision of the store up to which these are all changes.
     revision: int
 
@@ -78,6 +106,7 @@
 PEER_MESSAGE_TYPES: Any = (
     Hello,
     LoadBeat,
+    GroupBeat,
     NoteShare,
     UpstreamShare,
     EngineChanging,
--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -1,18 +1,28 @@
 """Talks to the other instances: who they are, what they have under way."""
 
 import logging
+from collections.abc import Iterable
 from functools import singledispatch
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
+from cranberryrelay.relay._group_hub import (
+    HUB_BEAT_SECONDS,
+    GroupHub,
+    OtherHub,
+)
 from cranberryrelay.relay._knowledge import Knowledge
+from cranberryrelay.relay._news import News
 from cranberryrelay.relay._peer_messages import (
     EngineChanging,
     Farewell,
+    GroupBeat,
     Hello,
     LoadBeat,
     NoteShare,
     UpstreamShare,
 )
+from cranberryrelay.relay._roster import Place, Roster
+from cranberryrelay.relay._sharing import SHARE_AFTER_SECONDS, Sharer
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
@@ -23,38 +33,11 @@
 # Beats go out at least this often, in seconds.
 IDLE_BEAT_SECONDS: Final = 1.0
 
-# A peer that was silent for this long is not counted as live, in seconds.
-LIVE_SECONDS: Final = 3.0
-
-# A peer that was silent for this long is forgotten, in seconds.
-FORGET_SECONDS: Final = 60.0
-
-# A peer gets what it lacks at most this often, in seconds.
-SHARE_SECONDS: Final = 0.5
-
-# Time that a peer has to learn from the store by itself, in seconds.
-SHARE_AFTER_SECONDS: Final = 0.25
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
-class Peer(NamedTuple):
-    """Another instance."""
-
-    # 'IP:port' of its messages.
-    address: str
-
-    # When it was heard last, on the own clock.
-    heard_at: float
-
-    # When it was sent what it lacked, on the own clock.
-    shared_at: float = float('-inf')
-
-    # Since when it has been behind; None if it is not.
-    behind_since: float | None = None
-
-
 class PeerTalk:
-    """Keeps the list of peers and exchanges beats with them."""
+    """Exchanges beats with the peers on the roster."""
 
     def __init__(
         self,
@@ -67,26 +50,57 @@
         self.knowledge = knowledge
         self.network = network
         self.timers = timers
-        self.peers: dict[str, Peer] = {}
-        self.last_beat_at = float('-inf')
-        self.told_changes = 0
         settings = state.settings
         self.name = settings.name
-        self.address = f'{settings.ip}:{settings.peer_port}'
+        self.place = Place(
+            f'{settings.ip}:{settings.peer_port}', settings.domain
+        )
+        self.roster = Roster(self.name, settings.domain)
+        self.hub = GroupHub(state.backlog)
+        self.last_beat_at = float('-inf')
+        self.told_changes = 0
+        self.last_group_beat_at = float('-inf')
+        self.passed_changes = 0
+        self.hub_beat: GroupBeat | None = None
+        self.sharer = Sharer(knowledge, self.roster, self.send)
 
     def greet(self, name: str, address: str, answer: bool = True) -> None:
         """Make the own instance known at an address."""
-        if address == self.address:
+        if address == self.place.address:
             return
-        known = {name: peer.address for name, peer in self.peers.items()}
-        hello = Hello(self.address, self.state.settings.domain, known, answer)
+        now = self.timers.now()
+        known = self.roster.describe_line(now)
+        if not self.roster.grouped:
+            known = {
+                name: peer.place for name, peer in self.roster.peers.items()
+            }
+        hello = Hello(self.place, known, answer)
         self.network.send(name, address, self.name, hello)
 
-    def greet_seeds(self) -> None:
-        """Greet the instances that the settings name."""
-        for ip in self.state.settings.seed_ips:
-            address = f'{ip}:{self.state.settings.peer_port}'
-            self.greet(address, address)
+    def greet_listed(self, listed: dict[str, Place]) -> None:
+        """Greet the instances that the store names."""
+        now = self.timers.now()
+        self.note_told(listed)
+        if self.roster.grouped:
+            near = [name for name in listed if self.roster.is_near(name)]
+            names = {*near, *self.roster.other_hubs(now)}
+        else:
+            names = set(listed)
+        for name in names - {self.name}:
+            self.greet(name, listed[name].address, not self.roster.grouped)
+
+    def note_told(self, places: dict[str, Place]) -> list[str]:
+        """Note peers that are named; return those that were not known."""
+        now = self.timers.now()
+        fresh = [
+            name
+            for name, place in places.items()
+            if name != self.name and self.roster.note_told(name, place, now)
+        ]
+        for name in fresh:
+            address = places[name].address
+            _LOG.info('peer', extra={'peer': name, 'address': address})
+        return fresh
 
     async def receive(self) -> None:
         """Take messages for ever."""
@@ -95,140 +109,216 @@
 
     def take(self, sender: str, message: Any) -> None:
         """Take one message."""
+        self.roster.note_heard(sender, self.timers.now())
         take_message(message, self, sender)
         self.count_live()
 
     def take_hello(self, sender: str, hello: Hello) -> None:
         """Learn of a peer and of those that it knows."""
-        self.note_peer(sender, hello.address)
+        self.note_told({sender: hello.place})
+        self.roster.note_heard(sender, self.timers.now())
         if hello.answer:
-            self.greet(sender, hello.address, answer=False)
-        for name, address in hello.known.items():
-            if name not in self.peers and name != self.name:
-                self.note_peer(name, address)
-                self.greet(name, address)
-
-    def note_peer(self, name: str, address: str) -> None:
-        """Note that a peer was heard."""
-        known = self.peers.get(name)
-        now = self.timers.now()
-        if known is None or known.address != address:
-            _LOG.info('peer', extra={'peer': name, 'address': address})
-            self.peers[name] = Peer(address, now)
-        else:
-            self.peers[name] = known._replace(heard_at=now)
+            self.greet(sender, hello.place.address, answer=False)
+        for name in self.note_told(hello.known):
+            self.greet(name, hello.known[name].address)
 
     def take_beat(self, sender: str, beat: LoadBeat) -> None:
         """Take over a peer's loads; send it what it lacks."""
-        known = self.peers.get(sender)
-        if known is None:
+        if sender not in self.roster.peers:
             return
         now = self.timers.now()
-        self.peers[sender] = known._replace(heard_at=now)
         self.state.backlog.hear(sender, beat.loads, now)
-        for part in beat.parts:
-            self.state.note_cached(part)
-        for name in beat.unreachable:
-            if not self.state.fleet.rests(name, now):
-                self.state.fleet.note_unreachable(name, now)
-        self.share(sender, beat, now)
-
-    def share(self, sender: str, beat: LoadBeat, now: float) -> None:
-        """Send a peer that has been behind for a while what it lacks."""
-        table = self.state.table
-        note_behind = table is not None and table.revision > beat.revision
-        behind = self.knowledge.upstream_revision > beat.upstream_revision
-        peer = self.peers[sender]
-        if not (note_behind or behind):
-            self.peers[sender] = peer._replace(behind_since=None)
+        news = News(beat.parts, beat.unreachable)
+        self.state.hear_news(news, now)
+        self.roster.note_reported(sender)
+        delay = SHARE_AFTER_SECONDS
+        if self.roster.grouped and self.roster.is_near(sender):
+            self.hub.hear_member(sender, news, now)
+            self.point_to_hub(sender, now)
+            delay = 0
+        self.sharer.share(sender, beat, delay)
+
+    def take_group_beat(self, sender: str, beat: GroupBeat) -> None:
+        """Take over what a hub knows."""
+        if sender not in self.roster.peers:
             return
-        since = now if peer.behind_since is None else peer.behind_since
-        peer = peer._replace(behind_since=since)
-        self.peers[sender] = peer
-        if now - since < SHARE_AFTER_SECONDS:
-            return
-        if now - peer.shared_at < SHARE_SECONDS:
+        now = self.timers.now()
+        self.state.backlog.hear(sender, beat.loads, now)
+        news = News(beat.parts, beat.unreachable)
+        self.state.hear_news(news, now)
+        if self.roster.is_near(sender):
+            self.take_view(beat)
             return
-        self.peers[sender] = peer._replace(shared_at=now)
-        note = self.knowledge.share_note() if note_behind else None
-        if note is not None:
-            self.send(sender, note)
-        if behind:
-            after = beat.upstream_revision
-            self.send(sender, self.knowledge.share_upstreams(after))
+        told = OtherHub(beat.instances, beat.in_touch, now)
+        self.hub.hear_hub(sender, told, news)
+        self.point_to_hub(sender, now)
+        self.sharer.share(sender, beat, SHARE_AFTER_SECONDS)
+
+    def take_view(self, beat: GroupBeat) -> None:
+        """Take what the own hub tells of the fleet."""
+        self.state.live_instances = max(beat.instances, 1)
+        self.roster.told_size = beat.instances
+        self.hub_beat = beat
+
+    def point_to_hub(self, sender: str, now: float) -> None:
+        """Name the own hub to a peer that takes this instance for it."""
+        if self.roster.hub(now) is not None:
+            address = self.roster.peers[sender].place.address
+            self.greet(sender, address, answer=False)
 
     async def beat(self) -> None:
-        """Send beats for ever."""
+        """Send beats until this instance is about to stop."""
         async for now in self.timers.subscribe(BEAT_SECONDS):
-            self.forget_silent(now)
+            for name in self.roster.drop_silent(now):
+                self.state.backlog.forget_peer(name)
+                _LOG.info('peer forgotten', extra={'peer': name})
+            self.hub.drop_silent(now)
             self.count_live()
+            if self.roster.leaving:
+                return
             if self.is_due(now):
                 self.send_beat(now)
+            if self.roster.grouped:
+                self.pass_on(now)
 
     async def beat_on_request(self) -> None:
         """Send a beat at once whenever the data path asks for it."""
         async for _ in self.state.beat_requests:
-            self.send_beat(self.timers.now())
+            if not self.roster.leaving:
+                self.send_beat(self.timers.now())
 
     def is_due(self, now: float) -> bool:
         """Tell if there is something to tell."""
-        if now - self.last_beat_at >= IDLE_BEAT_SECONDS:
+        idle = HUB_BEAT_SECONDS if self.roster.grouped else IDLE_BEAT_SECONDS
+        if now - self.last_beat_at >= idle:
             return True
         changed = self.state.backlog.changes != self.told_changes
         fresh = self.state.fresh_parts or self.state.unreachable
         return changed or bool(fresh)
 
     def send_beat(self, now: float) -> None:
-        """Tell all peers what is under way here."""
+        """Tell what is under way here to all peers or the own hub."""
         state = self.state
+        news = News(state.fresh_parts, state.unreachable)
         beat = LoadBeat(
             loads=state.backlog.summarize(now),
-            parts=state.fresh_parts,
-            unreachable=state.unreachable,
-            revision=state.table.revision if state.table else -1,
+            parts=news.parts,
+            unreachable=news.unreachable,
+            revision=self.state.revision(),
             upstream_revision=self.knowledge.upstream_revision,
         )
         state.fresh_parts = []
         state.unreachable = []
         self.last_beat_at = now
         self.told_changes = state.backlog.changes
-        for name in list(self.peers):
-            self.send(name, beat)
+        if self.roster.grouped:
+            self.hub.tell_all(news)
+            self.ask(self.roster.line(self.place.domain, now), beat, now)
+        else:
+            self.ask(list(self.roster.peers), beat, now)
+
+    def ask(self, names: Iterable[str], message: Any, now: float) -> None:
+        """Send peers what they answer with beats of their own.
+
+        Those that have not answered are greeted too, as they may not know
+        this instance.
+        """
+        for name in names:
+            if self.roster.grouped and not self.roster.is_confirmed(name, now):
+                address = self.roster.peers[name].place.address
+                self.greet(name, address, answer=False)
+            self.roster.note_asked(name, now)
+            self.send(name, message)
+
+    def pass_on(self, now: float) -> None:
+        """Tell members what is known, and other hubs if this is one."""
+        hub = self.hub
+        backlog = self.state.backlog
+        changes = backlog.changes + backlog.heard
+        idle = now - self.last_group_beat_at >= HUB_BEAT_SECONDS
+        if changes == self.passed_changes and not idle:
+            return
+        self.last_group_beat_at = now
+        self.passed_changes = changes
+        beat = GroupBeat(
+            loads={},
+            parts=[],
+            unreachable=[],
+            revision=self.state.revision(),
+            upstream_revision=self.knowledge.upstream_revision,
+            instances=self.state.live_instances,
+            in_touch=self.state.store_answers() or hub.others_in_touch(),
+        )
+        news = hub.take_for_members()
+        views = hub.loads_for_members(hub.members, now)
+        for name, loads in views.items():
+            view = beat._replace(
+                loads=loads, parts=news.parts, unreachable=news.unreachable
+            )
+            self.send(name, view)
+        news = hub.take_for_hubs()
+        if not self.roster.is_hub(now):
+            return
+        summary = beat._replace(
+            loads=hub.domain_loads(now),
+            parts=news.parts,
+            unreachable=news.unreachable,
+            instances=hub.domain_instances(),
+            in_touch=self.state.store_answers(),
+        )
+        self.ask(self.roster.other_hubs(now), summary, now)
 
     def say_farewell(self) -> None:
-        """Tell all peers that this instance is about to stop."""
-        for name in list(self.peers):
-            self.send(name, Farewell(self.address))
+        """Tell the peers that this instance is about to stop."""
+        names = self.concerned()
+        self.roster.leaving = True
+        for name in names:
+            self.send(name, Farewell(self.place.address))
 
     def announce_change(self, engine: str) -> None:
         """Have all instances spare an engine that changes its role."""
         self.state.spare_engine(engine, self.timers.now())
-        for name in list(self.peers):
+        for name in self.concerned():
             self.send(name, EngineChanging(engine))
 
-    def live_names(self) -> list[str]:
-        """Return the names of the peers that were heard a moment ago."""
-        oldest = self.timers.now() - LIVE_SECONDS
-        return [
-            name for name, peer in self.peers.items() if peer.heard_at > oldest
-        ]
+    def take_change(self, sender: str, message: EngineChanging) -> None:
+        """Spare an engine, and have the members do so."""
+        self.state.spare_engine(message.engine, self.timers.now())
+        if self.roster.grouped and not self.roster.is_near(sender):
+            for name in self.hub.members:
+                self.send(name, message)
+
+    def concerned(self) -> list[str]:
+        """Return the peers to tell of something at once."""
+        if not self.roster.grouped:
+            return list(self.roster.peers)
+        now = self.timers.now()
+        names = {*self.hub.members, *self.roster.line(self.place.domain, now)}
+        if self.roster.is_hub(now):
+            names.update(self.roster.other_hubs(now))
+        return sorted(names)
 
     def send(self, name: str, message: Any) -> None:
-        """Send a message to a peer."""
-        peer = self.peers[name]
-        self.network.send(name, peer.address, self.name, message)
-
-    def forget_silent(self, now: float) -> None:
-        """Forget peers that were silent for long."""
-        for name, peer in list(self.peers.items()):
-            if now - peer.heard_at > FORGET_SECONDS:
-                self.peers.pop(name)
-                self.state.backlog.forget_peer(name)
-                _LOG.info('peer forgotten', extra={'peer': name})
+        """Send a message to a peer that is known."""
+        peer = self.roster.peers.get(name)
+        if peer is not None:
+            address = peer.place.address
+            self.network.send(name, address, self.name, message)
+
+    def forget(self, name: str) -> None:
+        """Forget a peer that is about to stop."""
+        self.roster.drop(name)
+        self.hub.members.pop(name, None)
+        self.state.backlog.forget_peer(name)
 
     def count_live(self) -> None:
         """Count the instances that share the budgets."""
-        self.state.live_instances = len(self.live_names()) + 1
+        now = self.timers.now()
+        if not self.roster.grouped:
+            live = self.roster.live_names(now)
+            self.state.live_instances = len(live) + 1
+        elif self.roster.is_hub(now):
+            self.state.live_instances = self.hub.fleet_instances()
 
 
 @singledispatch
@@ -247,6 +337,11 @@
     talk.take_beat(sender, message)
 
 
+@take_message.register
+def _(message: GroupBeat, talk: PeerTalk, sender: str) -> None:
+    talk.take_group_beat(sender, message)
+
+
 @take_message.register
 def _(message: NoteShare, talk: PeerTalk, sender: str) -> None:
     talk.knowledge.hear_note(message)
@@ -259,10 +354,9 @@
 
 @take_message.register
 def _(message: EngineChanging, talk: PeerTalk, sender: str) -> None:
-    talk.state.spare_engine(message.engine, talk.timers.now())
+    talk.take_change(sender, message)
 
 
 @take_message.register
 def _(message: Farewell, talk: PeerTalk, sender: str) -> None:
-    talk.peers.pop(sender, None)
-    talk.state.backlog.forget_peer(sender)
+    talk.forget(sender)
--- a/cranberryrelay/relay/_role_keeper.py
+++ b/cranberryrelay/relay/_role_keeper.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from cranberryrelay.relay._catalogue import Role, Upstream
+from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._order_authority import Authority
 from cranberryrelay.relay._orders import (
     EngineControl,
@@ -13,7 +14,6 @@
     OrderOutcome,
     RoleOrder,
 )
-from cranberryrelay.relay._peers import PeerTalk
 from cranberryrelay.relay._role_planner import (
     SETTLE_SECONDS,
     RoleChange,
@@ -48,13 +48,14 @@
     def __init__(
         self,
         state: RelayState,
-        talk: PeerTalk,
+        duties: Duties,
         authority: Authority,
         control: EngineControl,
         timers: TimerService,
     ) -> None:
         self.state = state
-        self.talk = talk
+        self.talk = duties.talk
+        self.duties = duties
         self.authority = authority
         self.control = control
         self.timers = timers
@@ -108,7 +109,7 @@
         """Tell if this instance has the first name of those that live."""
         if self.state.draining or not self.state.is_ready():
             return False
-        return all(self.talk.name < name for name in self.talk.live_names())
+        return self.duties.place() == 0
 
     async def order(self, change: RoleChange, token: int) -> None:
         """Give one order if the engine is free for it."""
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -10,12 +10,11 @@
 from hypercorn.config import Config
 from hypercorn.trio import serve
 from quart_trio import QuartTrio
-from result import Err
 
-from cranberryrelay.codes import ResultCode
 from cranberryrelay.relay._account_writer import AccountWriter
 from cranberryrelay.relay._arrival import Dialect
 from cranberryrelay.relay._context import Tools
+from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._followers import KindFollower, KindSink
 from cranberryrelay.relay._front_app import make_front_app, make_ready_app
 from cranberryrelay.relay._knowledge import Decoders, Knowledge
@@ -24,7 +23,8 @@
 from cranberryrelay.relay._orders import EngineControl
 from cranberryrelay.relay._peer_messages import PEER_MESSAGE_TYPES
 from cranberryrelay.relay._peers import PeerTalk
-from cranberryrelay.relay._records import KindRecord, RecordStore
+from cranberryrelay.relay._records import RecordStore
+from cranberryrelay.relay._registration import register
 from cranberryrelay.relay._role_keeper import RoleKeeper
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._state import RelayState
@@ -37,7 +37,6 @@
     open_peer_network,
 )
 
-INSTANCE_KIND: Final = 'relay-instances'
 HEAD_BYTES_LIMIT: Final = 65_536
 IDLE_SECONDS: Final = 20.0
 
@@ -46,7 +45,6 @@
 
 # Left of the grace after SIGTERM for the last bytes and the end, in seconds.
 END_MARGIN_SECONDS: Final = 1.2
-REGISTER_PAUSE_SECONDS: Final = 0.5
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -90,15 +88,16 @@
         tools = Tools(state, client, parts.dialect, timers)
         account = AccountWriter(state, parts.store, timers, parts.incarnation)
         with _open_talk(state, knowledge, timers) as talk:
-            for follower in _make_followers(parts, knowledge, timers):
+            duties = Duties(talk)
+            for follower in _make_followers(parts, duties):
                 nursery.start_soon(follower.follow)
             nursery.start_soon(talk.receive)
             nursery.start_soon(talk.beat)
             nursery.start_soon(talk.beat_on_request)
             nursery.start_soon(account.write_regularly)
-            nursery.start_soon(_make_keeper(parts, talk).keep)
-            nursery.start_soon(NoteArchive(parts.store, talk, timers).keep)
-            nursery.start_soon(_register, parts, talk, timers)
+            nursery.start_soon(_make_keeper(parts, duties).keep)
+            nursery.start_soon(NoteArchive(parts.store, duties, timers).keep)
+            nursery.start_soon(register, parts.store, talk)
             await _serve_callers(tools, talk, stop)
             await account.write()
             nursery.cancel_scope.cancel()
@@ -122,61 +121,34 @@
         yield PeerTalk(state, knowledge, network, timers)
 
 
-def _make_keeper(parts: ServingParts, talk: PeerTalk) -> RoleKeeper:
+def _make_keeper(parts: ServingParts, duties: Duties) -> RoleKeeper:
+    talk = duties.talk
     authority = Authority(
         parts.store,
         talk.timers,
         parts.settings.name,
         parts.settings.bounds.lease_seconds,
     )
-    return RoleKeeper(talk.state, talk, authority, parts.control, talk.timers)
+    return RoleKeeper(talk.state, duties, authority, parts.control, talk.timers)
 
 
-def _make_followers(
-    parts: ServingParts,
-    knowledge: Knowledge,
-    timers: TimerService,
-) -> list[KindFollower]:
+def _make_followers(parts: ServingParts, duties: Duties) -> list[KindFollower]:
+    talk = duties.talk
+    knowledge = talk.knowledge
     rng = random.Random(parts.incarnation)
-    sinks = (
-        KindSink(parts.note_kind, knowledge.list_notes, knowledge.change_notes),
-        KindSink(
+    rows = (
+        (parts.note_kind, knowledge.list_notes, knowledge.change_notes),
+        (
             parts.upstream_kind,
             knowledge.list_upstreams,
             knowledge.change_upstreams,
         ),
     )
-    return [KindFollower(parts.store, sink, timers, rng) for sink in sinks]
-
-
-async def _register(
-    parts: ServingParts, talk: PeerTalk, timers: TimerService
-) -> None:
-    """Make the instance known in the store and greet those known there."""
-    talk.greet_seeds()
-    value = {'address': talk.address, 'domain': parts.settings.domain}
-    while True:
-        created = await parts.store.create(INSTANCE_KIND, talk.name, value)
-        if not isinstance(created, Err):
-            break
-        if created.unwrap_err().code is ResultCode.STORE_CONFLICT:
-            break
-        await timers.pause(REGISTER_PAUSE_SECONDS)
-    while True:
-        listed = await parts.store.list_kind(INSTANCE_KIND)
-        if not isinstance(listed, Err):
-            break
-        await timers.pause(REGISTER_PAUSE_SECONDS)
-    for record in listed.unwrap().records:
-        _greet_listed(talk, record)
-
-
-def _greet_listed(talk: PeerTalk, record: KindRecord) -> None:
-    if record.name == talk.name or not isinstance(record.value, dict):
-        return
-    address = record.value.get('address')
-    if isinstance(address, str):
-        talk.greet(record.name, address)
+    sinks = [
+        KindSink(*row, talk.state.note_contact, duties.needs_watch)
+        for row in rows
+    ]
+    return [KindFollower(parts.store, sink, talk.timers, rng) for sink in sinks]
 
 
 async def _serve_callers(
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -19,6 +19,7 @@
     Upstream,
 )
 from cranberryrelay.relay._fleet import Fleet
+from cranberryrelay.relay._news import News
 from cranberryrelay.relay._placement import Surroundings
 from cranberryrelay.relay._prefix_index import CachedPart, PrefixIndex
 from cranberryrelay.relay._repeat_budget import RepeatBudget
@@ -61,6 +62,7 @@
         self.draining = False
         self.active: dict[int, ActiveRequest] = {}
         self.live_instances = 1
+        self.lost_kinds: set[str] = set()
 
     def ask_for_beat(self) -> None:
         """Have the peers told at once of what was sent."""
@@ -77,14 +79,29 @@
             body_bytes,
         )
 
+    def revision(self) -> int:
+        """Return the revision of the note in force; -1 for none."""
+        return self.table.revision if self.table else -1
+
     def is_ready(self) -> bool:
         """Tell if new callers may come."""
         known = self.table is not None and self.listed_upstreams
         return known and not self.draining
 
+    def note_contact(self, kind: str, answers: bool) -> None:
+        """Note whether the store answers questions for a kind of records."""
+        if answers:
+            self.lost_kinds.discard(kind)
+        else:
+            self.lost_kinds.add(kind)
+
+    def store_answers(self) -> bool:
+        """Tell if the store answered the newest questions."""
+        return not self.lost_kinds
+
     def apply_table(self, table: RoutingTable, source: str) -> bool:
         """Take over a release note if it is newer than the one in force."""
-        known = self.table.revision if self.table else -1
+        known = self.revision()
         if table.revision <= known:
             return False
         self.table = table
@@ -140,6 +157,14 @@
             read = (PromptPart(part.digest, part.tokens),)
             self.index.note(part.engine, read, traits.kv_capacity_tokens)
 
+    def hear_news(self, news: News, now: float) -> None:
+        """Take what peers have found out about engines."""
+        for part in news.parts:
+            self.note_cached(part)
+        for name in news.unreachable:
+            if not self.fleet.rests(name, now):
+                self.fleet.note_unreachable(name, now)
+
     def note_failure(self, name: str, failure: Failure, now: float) -> None:
         """Learn from a failure of an upstream."""
         self.telemetry.count_failure(failure.code)
--- a/cranberryrelay/relay/tests/test_knowledge.py
+++ b/cranberryrelay/relay/tests/test_knowledge.py
@@ -22,12 +22,14 @@
     RecordChange,
 )
 from cranberryrelay.relay._account_writer import AccountWriter
+from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._followers import KindFollower, KindSink
-from cranberryrelay.relay._knowledge import Knowledge
+from cranberryrelay.relay._knowledge import REMOVALS_LIMIT, Knowledge
 from cranberryrelay.relay._note_archive import NoteArchive
 from cranberryrelay.relay._peer_messages import NoteShare, UpstreamShare
 from cranberryrelay.relay._peers import PeerTalk
 from cranberryrelay.relay._repeat_budget import RepeatBudget
+from cranberryrelay.relay._roster import Place
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import make_settings
 from cranberryrelay.timing import TimerService, open_timer_service
@@ -79,14 +81,14 @@
         knowledge.list_upstreams(KindListing((old,), 10))
         knowledge.change_upstreams(RecordChange((), ('i-1',), 20))
         stale = [(old.name, old.revision, old.value)]
-        knowledge.hear_upstreams(UpstreamShare(stale, [], 15))
+        knowledge.hear_upstreams(UpstreamShare(stale, [], 5, 15))
         self.assertEqual(knowledge.state.fleet.upstreams, {})
 
     def test_leaving_is_learned_from_a_peer(self) -> None:
         knowledge = make_knowledge()
         knowledge.list_upstreams(KindListing((make_entry('i-1', 10),), 10))
         leaving = make_entry('i-1', 12, 'draining')
-        share = UpstreamShare([tuple(leaving)], [], 12)
+        share = UpstreamShare([tuple(leaving)], [], 10, 12)
         knowledge.hear_upstreams(share)
         self.assertTrue(knowledge.state.fleet.upstreams['i-1'].leaving)
 
@@ -99,6 +101,27 @@
         share = knowledge.share_upstreams(15)
         self.assertEqual(share.removed, ['i-2'])
 
+    def test_entry_that_came_back_stays(self) -> None:
+        sender = make_knowledge()
+        sender.list_upstreams(KindListing((make_entry('i-1', 10),), 10))
+        sender.change_upstreams(RecordChange((), ('i-1',), 20))
+        back = make_entry('i-1', 25)
+        sender.change_upstreams(RecordChange((back,), (), 25))
+        sender.advance(30)
+        receiver = make_knowledge()
+        receiver.list_upstreams(KindListing((make_entry('i-1', 10),), 10))
+        receiver.hear_upstreams(sender.share_upstreams(10))
+        self.assertEqual(list(receiver.state.fleet.upstreams), ['i-1'])
+        self.assertEqual(receiver.upstream_revision, 30)
+
+    def test_removals_are_bounded(self) -> None:
+        knowledge = make_knowledge()
+        for idx in range(REMOVALS_LIMIT + 5):
+            knowledge.drop_upstream(f'i-{idx}', idx + 1, 'test')
+        self.assertEqual(len(knowledge.removed_at), REMOVALS_LIMIT)
+        knowledge.advance(REMOVALS_LIMIT + 5)
+        self.assertEqual(knowledge.share_upstreams(0).after, 6)
+
     def test_faulty_entry_names_no_upstream(self) -> None:
         knowledge = make_knowledge()
         knowledge.list_upstreams(KindListing((make_entry('i-1', 10),), 10))
@@ -179,10 +202,19 @@
     """Take what is told and do nothing."""
 
 
+def ignore_contact(_: str, answers: bool) -> None:
+    """Take whether the store answers and do nothing."""
+
+
+def always() -> bool:
+    """Have every instance watch."""
+    return True
+
+
 async def follow(store: Any) -> None:
     """Follow for a while."""
     async with open_timer_service() as timers:
-        sink = KindSink('kind', ignore, ignore)
+        sink = KindSink('kind', ignore, ignore, ignore_contact, always)
         follower = KindFollower(store, sink, timers, random.Random(1))
         with trio.move_on_after(30):
             await follower.follow()
@@ -258,10 +290,11 @@
     async with open_timer_service() as timers:
         talk = PeerTalk(knowledge.state, knowledge, network, timers)
         talk.name = instance
+        talk.roster.name = instance
         for name in ('front-b-1', 'front-c-1'):
-            talk.note_peer(name, name)
+            talk.note_told({name: Place(name, 'b')})
         with trio.move_on_after(2.5):
-            await NoteArchive(store, talk, timers).keep()
+            await NoteArchive(store, Duties(talk), timers).keep()
 
 
 class RepeatBudgetTest(TestCase):
--- a/cranberryrelay/relay/tests/test_placement.py
+++ b/cranberryrelay/relay/tests/test_placement.py
@@ -195,7 +195,7 @@
     def test_peers_count_until_they_are_old(self) -> None:
         backlog = Backlog()
         backlog.add('p0', Sent(0.2, NOW))
-        backlog.hear('peer', {'p0': EngineLoad(300, 0, 1)}, NOW)
+        backlog.hear('peer', {'p0': EngineLoad(300, 0, 1, 300)}, NOW)
         self.assertAlmostEqual(backlog.wait_seconds('p0', NOW), 0.5)
         self.assertAlmostEqual(backlog.wait_seconds('p0', NOW + 2), 0)
         self.assertEqual(backlog.running('p0', NOW + 2), 1)
