Wake less often: no polling of sockets, idle connections between instances closed

Cause: with 89 instances the I/O threads of zmq switched two to three times as often as the programs themselves: each instance kept connections to about 60 others, most of them for one greeting, with heartbeats each second both ways; each receiving socket was looked at 20 times a second.

Change: a send wakes the receiver of its socket if it used up the signal, so that looking each second is enough; connections not used for 4 s are closed; an instance greets only hubs and those that it may speak for; heartbeats each 2 s. The followers look each 0.5 s whether to watch.

--- a/cranberryrelay/relay/_followers.py
+++ b/cranberryrelay/relay/_followers.py
@@ -21,7 +21,7 @@
 
 # How often it is looked up whether to watch, in seconds; a small part of the
 # time in which a change must be in force.
-LOOK_SECONDS: Final = 0.2
+LOOK_SECONDS: Final = 0.5
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -33,6 +33,10 @@
 # Beats go out at least this often, in seconds.
 IDLE_BEAT_SECONDS: Final = 1.0
 
+# Connections that were not used for this long are closed, in seconds; some
+# beats go to each peer that is told of anything in this time.
+UNUSED_SECONDS: Final = 4.0
+
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -61,6 +65,7 @@
         self.told_changes = 0
         self.last_group_beat_at = float('-inf')
         self.passed_changes = 0
+        self.closed_at = float('-inf')
         self.hub_beat: GroupBeat | None = None
         self.sharer = Sharer(knowledge, self.roster, self.send)
 
@@ -77,18 +82,6 @@
         hello = Hello(self.place, known, answer)
         self.network.send(name, address, self.name, hello)
 
-    def greet_listed(self, listed: dict[str, Place]) -> None:
-        """Greet the instances that the store names."""
-        now = self.timers.now()
-        self.note_told(listed)
-        if self.roster.grouped:
-            near = [name for name in listed if self.roster.is_near(name)]
-            names = {*near, *self.roster.other_hubs(now)}
-        else:
-            names = set(listed)
-        for name in names - {self.name}:
-            self.greet(name, listed[name].address, not self.roster.grouped)
-
     def note_told(self, places: dict[str, Place]) -> list[str]:
         """Note peers that are named; return those that were not known."""
         now = self.timers.now()
@@ -180,6 +173,13 @@
                 self.send_beat(now)
             if self.roster.grouped:
                 self.pass_on(now)
+                self.close_unused(now)
+
+    def close_unused(self, now: float) -> None:
+        """Close connections that were needed for a greeting only."""
+        if now - self.closed_at >= UNUSED_SECONDS:
+            self.closed_at = now
+            self.network.close_unused()
 
     async def beat_on_request(self) -> None:
         """Send a beat at once whenever the data path asks for it."""
--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -45,6 +45,10 @@
 # Cost of a failure, as seconds of waiting.
 FAILURE_SECONDS: Final = 1.0
 
+# Cost of reading shared parts that another engine may keep, as seconds of
+# waiting for each token; the operators price it.
+SHARED_TOKEN_SECONDS: Final = 20e-6
+
 # Cost of another running request at a decode engine, as seconds of waiting.
 RUNNING_SECONDS: Final = 0.002
 
@@ -130,6 +134,8 @@
     wait = plain * conduct.slowness
     cost = wait + conduct.error_rate * FAILURE_SECONDS
     cost += around.far_seconds(engine.domain)
+    shared = sum(part.tokens for part in work.shared_parts())
+    cost += max(shared - cached, 0) * SHARED_TOKEN_SECONDS
     return Candidate(
         engine, work.prompt_tokens - cached, read, plain, wait, cost
     )
--- a/cranberryrelay/relay/_registration.py
+++ b/cranberryrelay/relay/_registration.py
@@ -46,7 +46,27 @@
         if not isinstance(listed, Err):
             break
         await talk.timers.pause(REGISTER_PAUSE_SECONDS)
-    talk.greet_listed(dict(_read_places(listed.unwrap().records)))
+    greet_listed(talk, dict(_read_places(listed.unwrap().records)))
+
+
+def greet_listed(talk: PeerTalk, listed: dict[str, Place]) -> None:
+    """Greet those that the store names and that are to know this instance.
+
+    In a large fleet these are the hubs, and those that this instance would
+    speak for if it became one.
+    """
+    talk.note_told(listed)
+    roster = talk.roster
+    names = set(listed)
+    if roster.grouped:
+        now = talk.timers.now()
+        names = {
+            *roster.later_names(),
+            *roster.line(roster.domain, now),
+            *roster.other_hubs(now),
+        }
+    for name in names - {talk.name}:
+        talk.greet(name, listed[name].address, not roster.grouped)
 
 
 def _read_places(
--- a/cranberryrelay/relay/_roster.py
+++ b/cranberryrelay/relay/_roster.py
@@ -158,6 +158,14 @@
         peer = self.peers.get(name)
         return peer is not None and peer.place.domain == self.domain
 
+    def later_names(self) -> list[str]:
+        """Return the names of the own failure domain that come after."""
+        return [
+            name
+            for name in self.peers
+            if name > self.name and self.is_near(name)
+        ]
+
     def place_near(self) -> int:
         """Return how many names of the own failure domain come before."""
         return sum(
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -23,6 +23,7 @@
 from cranberryrelay.relay._knowledge import Knowledge
 from cranberryrelay.relay._peers import PeerTalk
 from cranberryrelay.relay._prefix_index import CachedPart
+from cranberryrelay.relay._registration import greet_listed
 from cranberryrelay.relay._roster import Place
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import make_settings, make_table
@@ -73,6 +74,9 @@
         wires.inboxes[address].send_nowait((sender, message))
         return True
 
+    def close_unused(self) -> None:
+        """Do nothing, as there are no connections."""
+
     async def receive(self) -> AsyncIterator[tuple[str, Any]]:
         """Yield what was sent to the instance."""
         async for item in self.inbox:
@@ -104,7 +108,7 @@
         self.duties[name] = Duties(talk)
         self.nursery.start_soon(self.run, name)
         places = {other: one.place for other, one in self.talks.items()}
-        talk.greet_listed(places)
+        greet_listed(talk, places)
         await timers.pause(0.01)
 
     async def run(self, name: str) -> None:
--- /dev/null
+++ b/cranberryrelay/soak/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the soak's command line."""
+
+from cranberryrelay.soak import main
+
+main()
--- /dev/null
+++ b/cranberryrelay/soak/_program.py
@@ -0,0 +1,69 @@
+"""The soak's command line."""
+
+import sys
+import tempfile
+from pathlib import Path
+
+import fire
+import trio
+
+from cranberryrelay.soak._run import SoakPlan, SoakReport, run_soak
+
+
+class SoakCommands:
+    """Commands of the soak."""
+
+    def run(
+        self,
+        seed: int = 1,
+        seconds: float = 25,
+        instances: int = 4,
+        engines: int = 6,
+        folder: str = '',
+    ) -> None:
+        """Run one seed; the folder keeps logs, runs and settings."""
+        plan = SoakPlan(seed, seconds, instances, engines)
+        sys.exit(int(bool(run_in_folder(plan, folder).broken)))
+
+    def seeds(
+        self, first: int, last: int, seconds: float = 25, folder: str = ''
+    ) -> None:
+        """Run seeds one after another; exit with 1 if any broke a promise."""
+        broken = [
+            seed
+            for seed in range(first, last + 1)
+            if run_in_folder(SoakPlan(seed, seconds), folder).broken
+        ]
+        sys.stdout.write(f'seeds with broken promises: {broken}\n')
+        sys.exit(int(bool(broken)))
+
+
+def run_in_folder(plan: SoakPlan, folder: str) -> SoakReport:
+    """Run a seed in a folder of its own, kept if one is named."""
+    if folder:
+        return _run(plan, Path(folder) / f'seed-{plan.seed}')
+    with tempfile.TemporaryDirectory() as kept:
+        return _run(plan, Path(kept))
+
+
+def _run(plan: SoakPlan, folder: Path) -> SoakReport:
+    report = trio.run(run_soak, plan, folder)
+    sys.stdout.write(describe(report))
+    sys.stdout.flush()
+    return report
+
+
+def describe(report: SoakReport) -> str:
+    """Describe a run in a line, and each broken promise in one."""
+    lines = [
+        f'seed {report.plan.seed}: {len(report.faults)} faults, '
+        f'{report.answered} of {report.sent} requests answered, '
+        f'{len(report.broken)} broken promises'
+    ]
+    lines.extend(f'  {one.promise}: {one.detail}' for one in report.broken)
+    return '\n'.join((*lines, ''))
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(SoakCommands)
--- /dev/null
+++ b/cranberryrelay/soak/tests/broken_relay.py
@@ -0,0 +1,74 @@
+"""An instance with one part broken, to show that the soak can fail.
+
+The environment names the part: ``BROKEN_PART``.
+"""
+
+import os
+from collections.abc import AsyncIterator
+from types import MappingProxyType
+from typing import Any, Final
+
+from result import Result
+
+from cranberryrelay.codes import Failure
+from cranberryrelay.relay import _model_path, _plain_path, _state
+from cranberryrelay.relay_program import main
+
+PART_VARIABLE: Final = 'BROKEN_PART'
+
+
+def repeat_anything() -> None:
+    """Send a call again whether it may run twice or not."""
+
+    def should_repeat(self: Any, ended: Result[Any, Failure]) -> bool:
+        return ended.is_err()
+
+    _plain_path.PlainRun.should_repeat = should_repeat  # type: ignore[method-assign]
+
+
+def keep_the_first_note() -> None:
+    """Never take a newer note over."""
+    apply = _state.RelayState.apply_table
+
+    def apply_first(self: Any, table: Any, source: str) -> bool:
+        return self.table is None and apply(self, table, source)
+
+    _state.RelayState.apply_table = apply_first  # type: ignore[method-assign]
+
+
+def lose_an_event() -> None:
+    """Leave the third event of each stream out."""
+    pass_events = _model_path.ModelRun.pass_events
+
+    async def pass_most(self: Any, answer: Any) -> AsyncIterator[bytes]:
+        number = 0
+        async for event in pass_events(self, answer):
+            number += 1
+            if number != 3:
+                yield event
+
+    _model_path.ModelRun.pass_events = pass_most  # type: ignore[method-assign]
+
+
+def send_to_leaving_upstreams() -> None:
+    """Take no notice of upstreams that are about to leave."""
+    apply = _state.RelayState.apply_upstream
+
+    def apply_staying(self: Any, upstream: Any, source: str) -> None:
+        apply(self, upstream._replace(leaving=False), source)
+
+    _state.RelayState.apply_upstream = apply_staying  # type: ignore[method-assign]
+
+
+PARTS: Final = MappingProxyType(
+    {
+        'repeats': repeat_anything,
+        'notes': keep_the_first_note,
+        'events': lose_an_event,
+        'leaving': send_to_leaving_upstreams,
+    }
+)
+
+if __name__ == '__main__':
+    PARTS[os.environ[PART_VARIABLE]]()
+    main()
--- a/cranberryrelay/standins/__init__.py
+++ b/cranberryrelay/standins/__init__.py
@@ -40,6 +40,7 @@
 from cranberryrelay.standins._standins import StandIns as StandIns
 from cranberryrelay.standins._store import StoreFaults as StoreFaults
 from cranberryrelay.standins._store import StoreStandIn as StoreStandIn
+from cranberryrelay.standins._target_engine import EVENTS as EVENTS
 from cranberryrelay.standins._target_engine import (
     TargetEngineFaults as TargetEngineFaults,
 )
@@ -49,6 +50,9 @@
 from cranberryrelay.standins._target_engine import (
     make_target_engine_app as make_target_engine_app,
 )
+from cranberryrelay.standins._target_runs import BegunRun as BegunRun
+from cranberryrelay.standins._target_runs import RunFile as RunFile
+from cranberryrelay.standins._target_runs import read_runs as read_runs
 from cranberryrelay.standins._target_store import (
     TargetStoreFaults as TargetStoreFaults,
 )
--- a/cranberryrelay/standins/_target_engine.py
+++ b/cranberryrelay/standins/_target_engine.py
@@ -1,8 +1,8 @@
 """A stand-in for an engine of the target platform, with faults."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from http import HTTPStatus
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, Protocol
 
 import msgspec
 import trio
@@ -16,6 +16,10 @@
 SOURCE_HEADER: Final = 'X-Cranberryrelay-Kv-Source'
 EVENTS: Final = 6
 EVENT_SECONDS: Final = 0.05
+
+# Role of a plain service, and the time that a call of it takes, in seconds.
+PLAIN: Final = 'plain'
+WORK_SECONDS: Final = 0.08
 _MISDIRECTED: Final = 421
 _METHODS: Final = ('GET', 'POST')
 
@@ -30,6 +34,16 @@
     full: bool = False
 
 
+class RunLog(Protocol):
+    """Keeps the ids of the requests that were begun."""
+
+    def append(self, request_id: str, /) -> None:
+        """Note that a request is begun."""
+
+    def __iter__(self) -> Iterator[str]:
+        """Yield the ids in order."""
+
+
 class EngineCrashError(Exception):
     """The engine ends in the middle of its answer."""
 
@@ -37,12 +51,17 @@
 class TargetEngineStandIn:
     """Reads prompts, generates and takes orders."""
 
-    def __init__(self, name: str, role: str) -> None:
+    def __init__(
+        self, name: str, role: str, runs: RunLog | None = None
+    ) -> None:
         self.name = name
         self.role = role
         self.faults = TargetEngineFaults()
+
+        # Set to have events bear the id of their request.
+        self.names_requests = False
         self.tickets: set[str] = set()
-        self.runs: list[str] = []
+        self.runs: RunLog = [] if runs is None else runs
         self.orders = 0
         self.token = 0
 
@@ -57,8 +76,16 @@
             return Response('', HTTPStatus.SERVICE_UNAVAILABLE, refused)
         if request.headers.get('X-Cranberryrelay-Stage'):
             return self.read_prompt(request_id, headers)
+        if self.role == PLAIN:
+            return await self.serve(request_id, headers)
         return self.generate(request_id, headers)
 
+    async def serve(self, request_id: str, headers: dict[str, str]) -> Response:
+        """Answer a call of a plain service with the request's id."""
+        self.runs.append(request_id)
+        await trio.sleep(WORK_SECONDS)
+        return Response(request_id, headers=headers)
+
     def read_prompt(self, request_id: str, headers: dict[str, str]) -> Response:
         """Read a prompt and keep its memory."""
         if self.role != 'prefill':
@@ -78,14 +105,17 @@
             self.runs.append(request_id)
         after = int(request.headers.get('Last-Event-Id', 0))
         headers['Content-Type'] = 'text/event-stream'
-        return self.make_events(after), int(HTTPStatus.OK), headers
+        text = request_id.encode() if self.names_requests else b'token'
+        return self.make_events(after, text), int(HTTPStatus.OK), headers
 
-    async def make_events(self, after: int) -> AsyncIterator[bytes]:
+    async def make_events(
+        self, after: int, text: bytes
+    ) -> AsyncIterator[bytes]:
         """Yield the events of a run; may break off."""
         for number in range(after + 1, EVENTS + 1):
             if self.faults.breaks_after and number > self.faults.breaks_after:
                 raise EngineCrashError(self.name)
-            yield b'id: %d\ndata: token\n\n' % number
+            yield b'id: %d\ndata: %s\n\n' % (number, text)
             await trio.sleep(EVENT_SECONDS)
 
     async def report(self) -> Response:
--- /dev/null
+++ b/cranberryrelay/standins/target_program.py
@@ -0,0 +1,54 @@
+"""The target platform's stand-ins as programs, each a process of its own."""
+
+from pathlib import Path
+from typing import Any, Final
+
+import fire
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+
+from cranberryrelay.standins._target_engine import (
+    TargetEngineStandIn,
+    make_target_engine_app,
+)
+from cranberryrelay.standins._target_runs import RunFile
+from cranberryrelay.standins._target_store import (
+    TargetStoreStandIn,
+    make_target_store_app,
+)
+
+LOOPBACK: Final = '127.0.0.1'
+
+
+class TargetStandInCommands:
+    """Commands of the stand-ins' program."""
+
+    def store(self, port: int) -> None:
+        """Serve an empty store."""
+        trio.run(_serve, make_target_store_app(TargetStoreStandIn()), port)
+
+    def upstream(self, name: str, role: str, port: int, runs: str) -> None:
+        """Serve an engine or a plain service that notes its runs in a file."""
+        log = RunFile(Path(runs), name)
+        engine = TargetEngineStandIn(name, role, log)
+        engine.names_requests = True
+        trio.run(_serve, make_target_engine_app(engine), port)
+
+
+async def _serve(app: Any, port: int) -> None:
+    config = Config()
+    config.bind = [f'{LOOPBACK}:{port}']
+    config.keep_alive_max_requests = 1_000_000
+    config.accesslog = None
+    config.errorlog = None
+    await serve(app, config, shutdown_trigger=trio.sleep_forever)
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(TargetStandInCommands)
+
+
+if __name__ == '__main__':
+    main()
--- a/cranberryrelay/wire/_network.py
+++ b/cranberryrelay/wire/_network.py
@@ -8,7 +8,7 @@
 import logging
 from collections.abc import AsyncIterator, Iterator
 from contextlib import ExitStack, contextmanager
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import trio
 import zmq
@@ -25,6 +25,11 @@
 _LOG: Final = logging.getLogger('cranberryrelay.wire')
 
 
+class _Dealer(NamedTuple):
+    socket: FrameSocket
+    opened: ExitStack
+
+
 class PeerNetwork:
     """A process's sockets to its peers; one task sends, one receives."""
 
@@ -35,15 +40,14 @@
         router: FrameSocket,
         keys: CurveKeys,
         codec: Codec[Any],
-        stack: ExitStack,
     ) -> None:
         self.name = name
         self.context = context
         self.router = router
         self.keys = keys
         self.codec = codec
-        self.stack = stack
-        self.dealers: dict[str, FrameSocket] = {}
+        self.dealers: dict[str, _Dealer] = {}
+        self.used: set[str] = set()
         self.direct: set[str] = set()
         self.malformed = 0
         self.messages_sent = 0
@@ -72,6 +76,17 @@
             return False
         return self._dealer_to(address).send_now(frames)
 
+    def close_unused(self) -> None:
+        """Close connections that were not used since the last such call."""
+        for address in self.dealers.keys() - self.used:
+            self.dealers.pop(address).opened.close()
+        self.used.clear()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self.used.clear()
+        self.close_unused()
+
     async def receive(self) -> AsyncIterator[tuple[str, Any]]:
         """Yield (sender, message) until closed; drops malformed frames."""
         while not self.router.socket.closed:
@@ -113,13 +128,16 @@
         _LOG.warning('malformed frame dropped', extra={'detail': detail})
 
     def _dealer_to(self, address: str) -> FrameSocket:
+        self.used.add(address)
         dealer = self.dealers.get(address)
         if dealer is None:
-            dealer = self.stack.enter_context(
+            opened = ExitStack()
+            socket = opened.enter_context(
                 open_dealer(self.context, address, self.keys)
             )
+            dealer = _Dealer(socket, opened)
             self.dealers[address] = dealer
-        return dealer
+        return dealer.socket
 
 
 @contextmanager
@@ -135,6 +153,9 @@
         _LOG.warning(
             'peers are NOT authenticated: set keys.public and keys.secret'
         )
-    with ExitStack() as stack:
-        router = stack.enter_context(open_router(context, address, keys))
-        yield PeerNetwork(name, context, router, keys, codec, stack)
+    with open_router(context, address, keys) as router:
+        network = PeerNetwork(name, context, router, keys, codec)
+        try:
+            yield network
+        finally:
+            network.close()
--- a/cranberryrelay/wire/_sockets.py
+++ b/cranberryrelay/wire/_sockets.py
@@ -15,9 +15,11 @@
 FRAME_BYTES_LIMIT: Final = 1_000_000
 
 # A connection that went silent is opened again after this time.
-HEARTBEAT_MS: Final = 1000
-HEARTBEAT_TIMEOUT_MS: Final = 2500
-_POLL_SECONDS: Final = 0.05
+HEARTBEAT_MS: Final = 2000
+HEARTBEAT_TIMEOUT_MS: Final = 3000
+
+# The socket is looked at this often in case a wakeup was missed, in seconds.
+_POLL_SECONDS: Final = 1.0
 
 
 class CurveKeys(NamedTuple):
@@ -42,6 +44,7 @@
     def __init__(self, socket: 'zmq.Socket[bytes]') -> None:
         self.socket = socket
         self.dropped = 0
+        self.waiting: trio.CancelScope | None = None
 
     def send_now(self, frames: list[bytes]) -> bool:
         """Send without waiting; False when the peer's queue is full."""
@@ -50,6 +53,8 @@
         except zmq.ZMQError:
             self.dropped += 1
             return False
+        finally:
+            self._wake_receiver()
         return True
 
     async def receive(self) -> list[bytes]:
@@ -64,13 +69,23 @@
                 await self._wait_readable()
         raise trio.ClosedResourceError
 
-    async def _wait_readable(self) -> None:
+    def _wake_receiver(self) -> None:
+        """Wake the receiver, as a send may use up the descriptor's signal."""
+        if self.waiting is not None and self._has_frames():
+            self.waiting.cancel()
+
+    def _has_frames(self) -> bool:
         events: Any = self.socket.getsockopt(zmq.EVENTS)
-        if events & zmq.POLLIN:
+        return bool(events & zmq.POLLIN)
+
+    async def _wait_readable(self) -> None:
+        if self._has_frames():
             return
         descriptor: Any = self.socket.getsockopt(zmq.FD)
-        with trio.move_on_after(_POLL_SECONDS):
+        with trio.move_on_after(_POLL_SECONDS) as scope:
+            self.waiting = scope
             await trio.lowlevel.wait_readable(descriptor)
+        self.waiting = None
 
 
 @contextmanager
