Have instances act on each other's evidence; tell the role with an order

Change: an order's announcement bears the role, which holds until the entry tells of a change; failures, refusals and recoveries are told with the beats; what reached no engine is no repeat; those told of a dark engine rest it for different times; a prompt that one engine refuses is offered to a second one with the memory it has.

--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -6,6 +6,7 @@
 predicted, is chosen less; both are forgotten with time.
 """
 
+import random
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._catalogue import Role, Upstream
@@ -14,6 +15,9 @@
 FIRST_REST_SECONDS: Final = 0.5
 LONGEST_REST_SECONDS: Final = 4.0
 
+# Those that were told rest it up to so many times longer.
+TOLD_SPREAD: Final = 3.0
+
 # Failures in a row, other than being out of reach, that count as that.
 FAILURES_TO_REST: Final = 3
 
@@ -50,32 +54,56 @@
     learned_at: float = 0
 
 
+class RoleChanging(NamedTuple):
+    """An engine that was ordered to change its role."""
+
+    # It takes no work until then, on the own clock.
+    until: float
+
+    # Role that it has then; None if it is not known.
+    role: Role | None
+
+
 class Fleet:
     """Upstreams by name; one task owns it."""
 
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
         self.conduct: dict[str, Conduct] = {}
-        self.spared_until: dict[str, float] = {}
+        self.rng = random.Random()
+        self.changing: dict[str, RoleChanging] = {}
 
     def put(self, upstream: Upstream) -> None:
         """Add an upstream or take over what it says now."""
         known = self.upstreams.get(upstream.name)
         if known and known.born_ms != upstream.born_ms:
             self.conduct.pop(upstream.name, None)
+            self.changing.pop(upstream.name, None)
         if known and known.role is not upstream.role:
-            self.spared_until.pop(upstream.name, None)
+            self.changing.pop(upstream.name, None)
         self.upstreams[upstream.name] = upstream
 
     def remove(self, name: str) -> None:
         """Remove an upstream that is gone."""
         self.upstreams.pop(name, None)
         self.conduct.pop(name, None)
-        self.spared_until.pop(name, None)
+        self.changing.pop(name, None)
 
-    def spare(self, name: str, until: float) -> None:
-        """Leave an engine out until then, on the own clock."""
-        self.spared_until[name] = until
+    def spare(self, name: str, until: float, role: Role | None) -> None:
+        """Leave an engine out until then; it has the role from then on.
+
+        Its entry in the store may say so much later, if the store is away.
+        """
+        self.changing[name] = RoleChanging(until, role)
+
+    def has_role(self, upstream: Upstream, role: Role, now: float) -> bool:
+        """Tell if an upstream takes work of a role now."""
+        changing = self.changing.get(upstream.name)
+        if changing is None:
+            return upstream.role is role
+        if changing.until > now:
+            return False
+        return (changing.role or upstream.role) is role
 
     def candidates(
         self, service: str, role: Role, now: float
@@ -88,9 +116,8 @@
             upstream
             for upstream in self.upstreams.values()
             if upstream.service == service
-            and upstream.role is role
             and not upstream.leaving
-            and self.spared_until.get(upstream.name, 0) <= now
+            and self.has_role(upstream, role, now)
         ]
         rested = [one for one in able if not self.rests(one.name, now)]
         return rested or able
@@ -120,20 +147,50 @@
             if known.rests_until > float('-inf'):
                 self.conduct[name] = known._replace(rests_until=until)
 
-    def note_unreachable(self, name: str, now: float) -> None:
-        """Have an upstream rest that can't be reached."""
+    def note_unreachable(
+        self, name: str, now: float, *, told: bool = False
+    ) -> None:
+        """Have an upstream rest that can't be reached.
+
+        Those that were told so rest it longer, each for another time, as the
+        first that reaches it again tells them.
+        """
         known = self.learned(name, now)
-        doubled = FIRST_REST_SECONDS * 2 ** min(known.failures, 5)
+        rest = FIRST_REST_SECONDS * 2 ** min(known.failures, 5)
+        rest = min(rest, LONGEST_REST_SECONDS)
+        if told:
+            rest *= 1 + self.rng.random() * TOLD_SPREAD
         self.conduct[name] = known._replace(
-            failures=known.failures + 1,
-            rests_until=now + min(doubled, LONGEST_REST_SECONDS),
+            failures=known.failures + 1, rests_until=now + rest
         )
 
-    def note_failure(self, name: str, now: float) -> None:
-        """Count a request that an upstream failed."""
+    def has_failed(self, name: str) -> bool:
+        """Tell if an upstream has not answered since its last failure."""
+        known = self.conduct.get(name)
+        return known is not None and known.failures > 0
+
+    def note_recovered(self, name: str) -> None:
+        """End the rest of an upstream that answers others again."""
+        known = self.conduct.get(name)
+        if known:
+            self.conduct[name] = known._replace(
+                failures=0, rests_until=float('-inf')
+            )
+
+    def note_failure(
+        self, name: str, now: float, *, counts: bool = True
+    ) -> None:
+        """Note a request that an upstream failed or refused.
+
+        ``counts`` is false for refusals and for what peers tell, as others
+        may have had answers in between.
+        """
         known = self.learned(name, now)
         rate = known.error_rate * (1 - NEWEST_WEIGHT) + NEWEST_WEIGHT
         known = known._replace(error_rate=rate)
+        if not counts:
+            self.conduct[name] = known
+            return
         if known.failures + 1 >= FAILURES_TO_REST:
             self.conduct[name] = known
             self.note_unreachable(name, now)
--- a/cranberryrelay/relay/_group_hub.py
+++ b/cranberryrelay/relay/_group_hub.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._backlog import Backlog, EngineLoad
-from cranberryrelay.relay._news import News
+from cranberryrelay.relay._news import News, make_news
 from cranberryrelay.relay._roster import LIVE_SECONDS
 
 # Something is sent at least this often, so that silence is noticed, in
@@ -37,8 +37,8 @@
         self.backlog = backlog
         self.members: dict[str, float] = {}
         self.others: dict[str, OtherHub] = {}
-        self.for_members = News([], [])
-        self.for_hubs = News([], [])
+        self.for_members = make_news()
+        self.for_hubs = make_news()
 
     def hear_member(self, name: str, news: News, now: float) -> None:
         """Take what a member of the own failure domain tells."""
@@ -99,11 +99,11 @@
     def take_for_members(self) -> News:
         """Return what members are to be told, and begin anew."""
         news = self.for_members
-        self.for_members = News([], [])
+        self.for_members = make_news()
         return news
 
     def take_for_hubs(self) -> News:
         """Return what other hubs are to be told, and begin anew."""
         news = self.for_hubs
-        self.for_hubs = News([], [])
+        self.for_hubs = make_news()
         return news
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -43,6 +43,9 @@
 STALL_FACTOR: Final = 5.0
 STALL_SECONDS: Final = 0.75
 
+# After so many refusals the prompt is read again, as its memory may be gone.
+REFUSALS_LIMIT: Final = 1
+
 # After these failures the engine has not touched the prompt's memory.
 _UNTOUCHED: Final = frozenset(
     (
@@ -102,6 +105,7 @@
     ) -> Result[OpenAnswer, Failure]:
         """Begin to generate at the first engine that can be reached."""
         failure = fail(ResultCode.NO_ENGINE, 'no engine generates')
+        refusals = 0
         while True:
             engine = self.choose(prompt.domain)
             if engine is None:
@@ -110,6 +114,10 @@
             if isinstance(opened, Ok):
                 return opened
             failure = opened.unwrap_err()
+            if failure.code is ResultCode.UPSTREAM_REFUSED:
+                refusals += 1
+                if refusals <= REFUSALS_LIMIT and self.take_repeat():
+                    continue
             if failure.code not in _UNTOUCHED:
                 return opened
 
@@ -154,7 +162,7 @@
         if isinstance(opened, Err):
             self.note_failure(engine, opened.unwrap_err())
         else:
-            state.fleet.note_answer(engine.name, self.tools.timers.now())
+            state.note_answer(engine.name, self.tools.timers.now())
         return opened
 
     def choose_backup(self, engine: Upstream) -> Upstream | None:
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -3,7 +3,8 @@
 from typing import Any, NamedTuple
 
 from cranberryrelay.relay._backlog import EngineLoad
-from cranberryrelay.relay._prefix_index import CachedPart
+from cranberryrelay.relay._catalogue import Role
+from cranberryrelay.relay._news import News
 from cranberryrelay.relay._roster import Place
 
 
@@ -26,11 +27,8 @@
     # Work sent to engines that has not ended.
     loads: dict[str, EngineLoad]
 
-    # Parts that engines were given to read since the beat before.
-    parts: list[CachedPart]
-
-    # Upstreams that the sender could not reach since the beat before.
-    unreachable: list[str]
+    # What the sender has found out since the beat before.
+    news: News
 
     # Revision of the release note in force at the sender.
     revision: int
@@ -46,11 +44,8 @@
     # domain.
     loads: dict[str, EngineLoad]
 
-    # Parts that engines were given to read since the beat before.
-    parts: list[CachedPart]
-
-    # Upstreams that could not be reached since the beat before.
-    unreachable: list[str]
+    # What was found out since the beat before.
+    news: News
 
     # Revision of the release note in force at the sender.
     revision: int
@@ -95,6 +90,9 @@
     # Name of the engine's incarnation.
     engine: str
 
+    # Role that it will have; None if the order's outcome is not known.
+    role: Role | None = None
+
 
 class Farewell(NamedTuple):
     """The sender is about to stop."""
--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -5,13 +5,14 @@
 from functools import singledispatch
 from typing import Any, Final
 
+from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._group_hub import (
     HUB_BEAT_SECONDS,
     GroupHub,
     OtherHub,
 )
 from cranberryrelay.relay._knowledge import Knowledge
-from cranberryrelay.relay._news import News
+from cranberryrelay.relay._news import make_news
 from cranberryrelay.relay._peer_messages import (
     EngineChanging,
     Farewell,
@@ -121,12 +122,11 @@
             return
         now = self.timers.now()
         self.state.backlog.hear(sender, beat.loads, now)
-        news = News(beat.parts, beat.unreachable)
-        self.state.hear_news(news, now)
+        self.state.hear_news(beat.news, now)
         self.roster.note_reported(sender)
         delay = SHARE_AFTER_SECONDS
         if self.roster.grouped and self.roster.is_near(sender):
-            self.hub.hear_member(sender, news, now)
+            self.hub.hear_member(sender, beat.news, now)
             self.point_to_hub(sender, now)
             delay = 0
         self.sharer.share(sender, beat, delay)
@@ -137,13 +137,12 @@
             return
         now = self.timers.now()
         self.state.backlog.hear(sender, beat.loads, now)
-        news = News(beat.parts, beat.unreachable)
-        self.state.hear_news(news, now)
+        self.state.hear_news(beat.news, now)
         if self.roster.is_near(sender):
             self.take_view(beat)
             return
         told = OtherHub(beat.instances, beat.in_touch, now)
-        self.hub.hear_hub(sender, told, news)
+        self.hub.hear_hub(sender, told, beat.news)
         self.point_to_hub(sender, now)
         self.sharer.share(sender, beat, SHARE_AFTER_SECONDS)
 
@@ -193,22 +192,19 @@
         if now - self.last_beat_at >= idle:
             return True
         changed = self.state.backlog.changes != self.told_changes
-        fresh = self.state.fresh_parts or self.state.unreachable
-        return changed or bool(fresh)
+        return changed or not self.state.news.is_empty()
 
     def send_beat(self, now: float) -> None:
         """Tell what is under way here to all peers or the own hub."""
         state = self.state
-        news = News(state.fresh_parts, state.unreachable)
+        news = state.news
         beat = LoadBeat(
             loads=state.backlog.summarize(now),
-            parts=news.parts,
-            unreachable=news.unreachable,
+            news=news,
             revision=self.state.revision(),
             upstream_revision=self.knowledge.upstream_revision,
         )
-        state.fresh_parts = []
-        state.unreachable = []
+        state.news = make_news()
         self.last_beat_at = now
         self.told_changes = state.backlog.changes
         if self.roster.grouped:
@@ -242,27 +238,21 @@
         self.passed_changes = changes
         beat = GroupBeat(
             loads={},
-            parts=[],
-            unreachable=[],
+            news=hub.take_for_members(),
             revision=self.state.revision(),
             upstream_revision=self.knowledge.upstream_revision,
             instances=self.state.live_instances,
             in_touch=self.state.store_answers() or hub.others_in_touch(),
         )
-        news = hub.take_for_members()
         views = hub.loads_for_members(hub.members, now)
         for name, loads in views.items():
-            view = beat._replace(
-                loads=loads, parts=news.parts, unreachable=news.unreachable
-            )
-            self.send(name, view)
+            self.send(name, beat._replace(loads=loads))
         news = hub.take_for_hubs()
         if not self.roster.is_hub(now):
             return
         summary = beat._replace(
             loads=hub.domain_loads(now),
-            parts=news.parts,
-            unreachable=news.unreachable,
+            news=news,
             instances=hub.domain_instances(),
             in_touch=self.state.store_answers(),
         )
@@ -275,15 +265,16 @@
         for name in names:
             self.send(name, Farewell(self.place.address))
 
-    def announce_change(self, engine: str) -> None:
+    def announce_change(self, engine: str, role: Role | None) -> None:
         """Have all instances spare an engine that changes its role."""
-        self.state.spare_engine(engine, self.timers.now())
+        self.state.spare_engine(engine, role, self.timers.now())
         for name in self.concerned():
-            self.send(name, EngineChanging(engine))
+            self.send(name, EngineChanging(engine, role))
 
     def take_change(self, sender: str, message: EngineChanging) -> None:
         """Spare an engine, and have the members do so."""
-        self.state.spare_engine(message.engine, self.timers.now())
+        now = self.timers.now()
+        self.state.spare_engine(message.engine, message.role, now)
         if self.roster.grouped and not self.roster.is_near(sender):
             for name in self.hub.members:
                 self.send(name, message)
--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -10,7 +10,7 @@
 from cranberryrelay.relay._backlog import Backlog
 from cranberryrelay.relay._catalogue import Role, Upstream
 from cranberryrelay.relay._fleet import Fleet
-from cranberryrelay.relay._hashing import digest_text
+from cranberryrelay.relay._hashing import digest_text, unit_interval
 from cranberryrelay.relay._prefix_index import PrefixIndex
 
 # Prompt tokens that an engine reads in a second; from the platform's sheet.
@@ -49,6 +49,10 @@
 # waiting for each token; the operators price it.
 SHARED_TOKEN_SECONDS: Final = 20e-6
 
+# Preference between engines by what a request shares, as seconds of waiting;
+# about what an engine is sent to read before other instances know of it.
+SPREAD_SECONDS: Final = 0.05
+
 # Cost of another running request at a decode engine, as seconds of waiting.
 RUNNING_SECONDS: Final = 0.002
 
@@ -110,6 +114,18 @@
         return OTHER_DOMAIN_SECONDS + kilobytes * OTHER_DOMAIN_KB_SECONDS
 
 
+def spread_seconds(engine: Upstream, work: ModelWork) -> float:
+    """Return what keeps parts apart, the same at all instances.
+
+    Rendezvous hashing of the longest part that others may share, or of the
+    request's own: what instances send in the time in which they do not know
+    of each other goes to different engines, and the same part to the same.
+    """
+    shared = work.shared_parts() or work.parts
+    digest = shared[-1].digest if shared else ''
+    return unit_interval(f'{digest} {engine.name}') * SPREAD_SECONDS
+
+
 def predict_read_seconds(prompt_tokens: int, cached_tokens: int) -> float:
     """Predict how long a prefill engine reads the rest of a prompt."""
     to_read = prompt_tokens - cached_tokens
@@ -134,6 +150,7 @@
     wait = plain * conduct.slowness
     cost = wait + conduct.error_rate * FAILURE_SECONDS
     cost += around.far_seconds(engine.domain)
+    cost += spread_seconds(engine, work)
     shared = sum(part.tokens for part in work.shared_parts())
     cost += max(shared - cached, 0) * SHARED_TOKEN_SECONDS
     return Candidate(
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -36,7 +36,8 @@
         ended: Result[WholeReply, Failure] = Err(
             fail(ResultCode.NO_ENGINE, 'no process of the service takes calls')
         )
-        for sends in range(self.admitted.route.attempts_limit):
+        arrivals = 0
+        while arrivals < self.admitted.route.attempts_limit:
             now = self.tools.timers.now()
             upstream = choose_plain(
                 self.tools.state.surroundings(),
@@ -44,12 +45,15 @@
                 self.excluded,
                 now,
             )
-            if upstream is None or not self.may_send(sends):
+            if upstream is None or not self.may_send(arrivals):
                 break
             ended = await self.send_to(upstream)
             if not self.should_repeat(ended):
                 break
             self.excluded |= {upstream.name}
+            failure = ended.err()
+            unreachable = ResultCode.UPSTREAM_UNREACHABLE
+            arrivals += failure is None or failure.code is not unreachable
         return ended
 
     async def send_to(self, upstream: Upstream) -> Result[WholeReply, Failure]:
@@ -94,11 +98,14 @@
             return idempotent or ended.unwrap_err().ran is Ran.NOT_RUN
         return idempotent and ended.unwrap().status >= _SERVER_ERROR
 
-    def may_send(self, sends: int) -> bool:
-        """Tell if the budget and the time allow another send."""
+    def may_send(self, arrivals: int) -> bool:
+        """Tell if the budget and the time allow another send.
+
+        What reached no process is no send.
+        """
         if self.left() <= 0:
             return False
-        if sends == 0:
+        if not arrivals:
             return True
         now = self.tools.timers.now()
         return self.tools.state.take_repeat(self.admitted.service, now)
@@ -109,7 +116,7 @@
         if reply.status >= _SERVER_ERROR:
             self.tools.state.fleet.note_failure(upstream.name, now)
         else:
-            self.tools.state.fleet.note_answer(upstream.name, now)
+            self.tools.state.note_answer(upstream.name, now)
 
     def note_failure(self, upstream: Upstream, failure: Failure) -> None:
         """Avoid a process that failed; a route's short limit is no failure."""
--- a/cranberryrelay/relay/_prompt_reading.py
+++ b/cranberryrelay/relay/_prompt_reading.py
@@ -42,8 +42,8 @@
 GRACE_SECONDS: Final = 1.5
 GRACE_FACTOR: Final = 3.0
 
-# Prompts are read again at most this often for one request.
-ATTEMPTS_LIMIT: Final = 3
+# A prompt reaches at most so many engines for one request.
+ARRIVALS_LIMIT: Final = 3
 _REFUSALS: Final = frozenset(
     (
         ResultCode.NO_ENGINE,
@@ -72,7 +72,7 @@
         self.admitted = admitted
         self.log = log
         self.excluded: frozenset[str] = frozenset()
-        self.attempts = 0
+        self.arrivals = 0
 
     @property
     def work(self) -> ModelWork:
@@ -86,14 +86,16 @@
         Errors: ``NO_ENGINE``, ``UPSTREAM_REFUSED``, ``UPSTREAM_UNREACHABLE``.
         """
         failure = fail(ResultCode.NO_ENGINE, 'no engine reads prompts')
-        while self.left() > 0 and self.attempts < ATTEMPTS_LIMIT:
+        while self.left() > 0:
             chosen = await self.wait_for_room()
             if chosen is None or not self.may_send():
                 break
             found = await self.read_at(chosen)
+            failure = found.err() or failure
+            unreachable = failure.code is ResultCode.UPSTREAM_UNREACHABLE
+            self.arrivals += not (found.is_err() and unreachable)
             if isinstance(found, Ok):
                 return found
-            failure = found.unwrap_err()
             self.note_failure(chosen.engine, failure)
         return Err(_as_not_run(failure))
 
@@ -151,10 +153,14 @@
         return self.admitted.left(self.tools.timers.now())
 
     def may_send(self) -> bool:
-        """Count an attempt; each but the first draws on the budget."""
-        self.attempts += 1
-        if self.attempts == 1:
+        """Tell if the prompt may be sent; repeats draw on the budget.
+
+        What reached no engine is no send.
+        """
+        if not self.arrivals:
             return True
+        if self.arrivals >= ARRIVALS_LIMIT:
+            return False
         now = self.tools.timers.now()
         return self.tools.state.take_repeat(self.admitted.service, now)
 
@@ -177,7 +183,7 @@
             return body
         now = self.tools.timers.now()
         self.log.note_read(now)
-        state.fleet.note_answer(engine.name, now)
+        state.note_answer(engine.name, now)
         state.fleet.note_speed(
             engine.name, chosen.plain_seconds, now - sent.sent_at, now
         )
@@ -219,7 +225,7 @@
         if traits is None:
             return
         state.index.note(engine.name, parts, traits.kv_capacity_tokens)
-        state.fresh_parts.extend(
+        state.news.parts.extend(
             CachedPart(engine.name, part.digest, part.tokens) for part in parts
         )
 
--- a/cranberryrelay/relay/_role_keeper.py
+++ b/cranberryrelay/relay/_role_keeper.py
@@ -163,4 +163,7 @@
         if outcome is OrderOutcome.FENCED:
             self.authority.give_up()
         elif outcome in {OrderOutcome.TAKEN, None}:
-            self.talk.announce_change(engine.name)
+            taken = outcome is OrderOutcome.TAKEN
+            self.talk.announce_change(
+                engine.name, change.role if taken else None
+            )
--- a/cranberryrelay/relay/_role_planner.py
+++ b/cranberryrelay/relay/_role_planner.py
@@ -1,9 +1,8 @@
 """How many engines read prompts and how many generate: pure functions.
 
 Answers the load pattern of long prompts with short answers: a step of
-generation takes as long for one request as for a full batch, so a third of
-the engines generate for all while their slots suffice, and the others read
-prompts.
+generation takes as long for one request as for a full batch, so the engines
+that generate are as many as their slots require, and the others read prompts.
 """
 
 import math
@@ -11,8 +10,13 @@
 
 from cranberryrelay.relay._catalogue import Role, Upstream
 
-# Part of the engines that generate.
-DECODE_SHARE: Final = 0.33
+# Streams that run for each engine that is busy reading prompts; measured on
+# the mixes of two deployments.
+STREAMS_PER_READER: Final = 22.0
+
+# A difference of up to this part of the engines is left alone, as a change
+# takes an engine away for seconds.
+TOLERATED_SHARE: Final = 0.06
 
 # Engines that generate at least, so that one may fail.
 DECODE_FLOOR: Final = 2
@@ -34,10 +38,11 @@
     role: Role
 
 
-def plan_decode_count(engines: int) -> int:
-    """Return how many of the engines should generate."""
+def plan_decode_count(engines: int, slots: float) -> int:
+    """Return how many engines should generate, with so many slots each."""
     floor = DECODE_FLOOR if engines >= FLOOR_FROM else 1
-    return max(floor, math.ceil(engines * DECODE_SHARE))
+    share = STREAMS_PER_READER / (STREAMS_PER_READER + slots)
+    return max(floor, math.ceil(engines * share))
 
 
 def plan_role_changes(
@@ -60,14 +65,14 @@
     reading = [one for one in usable if one.role is Role.PREFILL]
     if not decoding and not reading:
         return []
-    wanted = plan_decode_count(len(decoding) + len(reading))
+    slots = sum(engine.slots for engine in usable) / len(usable)
+    wanted = plan_decode_count(len(usable), slots)
     surplus = len(decoding) - wanted
+    if abs(surplus) <= len(usable) * TOLERATED_SHARE:
+        return []
     if surplus > 0:
         return _change(decoding, surplus, Role.PREFILL, running, settling)
-    lack = wanted - len(decoding)
-    if lack > 0:
-        return _change(reading, lack, Role.DECODE, running, settling)
-    return []
+    return _change(reading, -surplus, Role.DECODE, running, settling)
 
 
 def _change(
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -15,11 +15,12 @@
 from cranberryrelay.relay._backlog import Backlog
 from cranberryrelay.relay._catalogue import (
     EngineTraits,
+    Role,
     RoutingTable,
     Upstream,
 )
 from cranberryrelay.relay._fleet import Fleet
-from cranberryrelay.relay._news import News
+from cranberryrelay.relay._news import News, make_news
 from cranberryrelay.relay._placement import Surroundings
 from cranberryrelay.relay._prefix_index import CachedPart, PrefixIndex
 from cranberryrelay.relay._repeat_budget import RepeatBudget
@@ -49,8 +50,7 @@
         self.fleet = Fleet()
         self.backlog = Backlog()
         self.index = PrefixIndex()
-        self.fresh_parts: list[CachedPart] = []
-        self.unreachable: list[str] = []
+        self.news = make_news()
         self.budgets: dict[str, RepeatBudget] = {}
         self.account = AccountBook()
         self.telemetry = RelayTelemetry()
@@ -163,26 +163,39 @@
             self.note_cached(part)
         for name in news.unreachable:
             if not self.fleet.rests(name, now):
-                self.fleet.note_unreachable(name, now)
+                self.fleet.note_unreachable(name, now, told=True)
+        for name in news.failed:
+            self.fleet.note_failure(name, now, counts=False)
+        for name in news.recovered:
+            self.fleet.note_recovered(name)
 
     def note_failure(self, name: str, failure: Failure, now: float) -> None:
         """Learn from a failure of an upstream."""
         self.telemetry.count_failure(failure.code)
         if failure.code is ResultCode.UPSTREAM_UNREACHABLE:
             if not self.fleet.rests(name, now):
-                self.unreachable.append(name)
+                self.news.unreachable.append(name)
             self.fleet.note_unreachable(name, now)
         elif failure.code is ResultCode.UPSTREAM_REPLACED:
             self.remove_upstream(name, 'its address')
-        elif failure.code is not ResultCode.UPSTREAM_REFUSED:
-            self.fleet.note_failure(name, now)
+        else:
+            refused = failure.code is ResultCode.UPSTREAM_REFUSED
+            self.news.add_failure(name)
+            self.fleet.note_failure(name, now, counts=not refused)
+
+    def note_answer(self, name: str, now: float) -> None:
+        """Learn from an answer of an upstream; peers are told if it is news."""
+        if self.fleet.has_failed(name):
+            self.news.recovered.append(name)
+        self.fleet.note_answer(name, now)
 
-    def spare_engine(self, name: str, now: float) -> None:
+    def spare_engine(self, name: str, role: Role | None, now: float) -> None:
         """Send an engine no work until its change of role is over."""
         upstream = self.fleet.upstreams.get(name)
         traits = upstream and self.engine_traits(upstream.service)
         if traits:
-            self.fleet.spare(name, now + traits.role_change_seconds)
+            until = now + traits.role_change_seconds
+            self.fleet.spare(name, until, role)
             self.index.forget(name)
 
     def take_repeat(self, service: str, now: float) -> bool:
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -17,7 +17,7 @@
     decode_configuration,
     decode_upstream,
 )
-from cranberryrelay.relay import Decoders, KindListing, RecordChange
+from cranberryrelay.relay import Decoders, KindListing, RecordChange, Role
 from cranberryrelay.relay._backlog import Sent
 from cranberryrelay.relay._duties import NO_PLACE, Duties
 from cranberryrelay.relay._knowledge import Knowledge
@@ -182,8 +182,8 @@
 
 async def tell_all_what_a_member_found(group: Group) -> None:
     state = group.talks['front-c-04'].state
-    state.fresh_parts.append(CachedPart('i-1', 'part', 100))
-    state.unreachable.append('i-1')
+    state.news.parts.append(CachedPart('i-1', 'part', 100))
+    state.news.unreachable.append('i-1')
     await trio.sleep(0.45)
     now = trio.current_time()
     for name, talk in group.talks.items():
@@ -239,12 +239,12 @@
 async def spare_an_engine_everywhere(group: Group) -> None:
     for talk in group.talks.values():
         talk.state.apply_table(make_table(5), 'test')
-    group.talks['front-a-00'].announce_change('i-1')
+    group.talks['front-a-00'].announce_change('i-1', Role.DECODE)
     await trio.sleep(0.1)
     unaware = [
         name
         for name, talk in group.talks.items()
-        if 'i-1' not in talk.state.fleet.spared_until
+        if 'i-1' not in talk.state.fleet.changing
     ]
     assert not unaware, unaware
 
--- a/cranberryrelay/relay/tests/test_model_path.py
+++ b/cranberryrelay/relay/tests/test_model_path.py
@@ -37,6 +37,7 @@
 WHOLE = b''.join(EVENTS)
 WORK = ModelWork('m', 800, 32, (PromptPart('a', 200), PromptPart('b', 600)))
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
+NOT_RUN_HEADER = 'X-Cranberryrelay-Not-Executed'
 SOURCE_HEADER = 'X-Cranberryrelay-Kv-Source'
 READ_ANSWER = (b'{"transfer_handle": "h", "tokens": 800}',)
 
@@ -60,11 +61,14 @@
 
     def __init__(self, fault: str) -> None:
         self.fault = fault
+        self.dark: set[str] = set()
         self.calls: list[str] = []
 
     def respond(self, request: httpx.Request) -> httpx.Response:
         """Answer as the engine of the request's address would."""
         host = request.url.host
+        if host in self.dark:
+            raise httpx.ConnectError('refused')
         if request.headers.get('X-Cranberryrelay-Stage'):
             self.calls.append(f'{host} reads')
             return respond_with(READ_ANSWER)
@@ -81,6 +85,9 @@
             raise httpx.ConnectError('refused')
         if self.fault == 'lost answer':
             raise httpx.ReadError('reset')
+        if self.fault == 'refused':
+            headers = {ID_HEADER: 'r1', NOT_RUN_HEADER: '1'}
+            return httpx.Response(503, headers=headers)
         passed = 0 if self.fault == 'broken at once' else 2
         return respond_with(EVENTS[:passed], breaks=True)
 
@@ -156,6 +163,14 @@
         WHOLE,
         (READ, FIRST, 'd2 from h after None'),
     ),
+    Case(
+        'refused: another engine with the same prompt',
+        'refused',
+        False,
+        ('d1', 'd2'),
+        WHOLE,
+        (READ, FIRST, 'd2 from h after None'),
+    ),
 )
 
 
@@ -181,8 +196,24 @@
         self.assertEqual(content, case.content)
         self.assertEqual(tuple(engines.calls), case.calls)
 
-
-async def run_request(case: Case, engines: Engines) -> bytes | None:
+    def test_engines_out_of_reach_draw_on_no_budget(self) -> None:
+        engines = Engines('')
+        state = make_state(('d1',))
+        reader = state.fleet.upstreams['p1']
+        state.apply_upstream(reader._replace(domain='far'), 'test')
+        for idx in range(8):
+            name = f'dark-{idx}'
+            dark = reader._replace(name=name, address=f'{name}:1')
+            state.apply_upstream(dark, 'test')
+            engines.dark.add(name)
+        content = trio.run(run_request, CASES[0], engines, state)
+        self.assertEqual(content, WHOLE)
+        self.assertEqual(len(state.budget('s').repeats), 0)
+
+
+async def run_request(
+    case: Case, engines: Engines, known: RelayState | None = None
+) -> bytes | None:
     """Return the body that the caller gets; None if it breaks off."""
     transport = httpx.MockTransport(engines.respond)
     async with (
@@ -190,7 +221,7 @@
         httpx.AsyncClient(transport=transport) as client,
         AsyncExitStack() as stack,
     ):
-        state = make_state(case.engines)
+        state = known or make_state(case.engines)
         tools = Tools(state, client, TargetDialect(), timers)
         route = make_route(RequestKind.STREAM)
         admitted = Admitted(
--- a/cranberryrelay/relay/tests/test_role_planner.py
+++ b/cranberryrelay/relay/tests/test_role_planner.py
@@ -10,7 +10,7 @@
 
 
 class Case(NamedTuple):
-    """A row: engines by role, and the changes that are expected."""
+    """A row: engines by role, their slots, and the changes expected."""
 
     name: str
     reading: int
@@ -18,6 +18,7 @@
     expected: int
     role: Role | None = None
     ordered: int = 0
+    slots: int = 64
 
 
 CASES = (
@@ -28,11 +29,14 @@
     Case('none decodes', 5, 0, 2, Role.DECODE),
     Case('nine engines', 3, 6, 3, Role.PREFILL),
     Case('no engine', 0, 0, 0),
+    Case('few slots, most decode', 15, 30, 11, Role.PREFILL, 0, 32),
+    Case('two of many are lost', 26, 17, 0, None, 0, 32),
+    Case('many of many are lost', 26, 9, 6, Role.DECODE, 0, 32),
 )
 
 
-def make_engine(name: str, role: Role) -> Upstream:
-    return Upstream(name, 1, 's', '10.0.0.1:1', 'a', 64, False, role)
+def make_engine(name: str, role: Role, slots: int) -> Upstream:
+    return Upstream(name, 1, 's', '10.0.0.1:1', 'a', slots, False, role)
 
 
 class RolePlannerTest(TestCase):
@@ -41,9 +45,11 @@
     @params(*((case,) for case in CASES))
     def test_changes(self, case: Case) -> None:
         decoding = [f'd{idx}' for idx in range(case.decoding)]
-        engines = [make_engine(name, Role.DECODE) for name in decoding]
-        engines += [
-            make_engine(f'p{idx}', Role.PREFILL) for idx in range(case.reading)
+        roles = dict.fromkeys(decoding, Role.DECODE)
+        for idx in range(case.reading):
+            roles[f'p{idx}'] = Role.PREFILL
+        engines = [
+            make_engine(name, role, case.slots) for name, role in roles.items()
         ]
         ordered = dict.fromkeys(decoding[: case.ordered], Role.PREFILL)
         changes = plan_role_changes(engines, {}, ordered)
--- a/cranberryrelay/soak/_injector.py
+++ b/cranberryrelay/soak/_injector.py
@@ -40,7 +40,7 @@
         self.site = site
         self.busy: set[str] = set()
 
-    async def run(self, planned: list[PlannedFault]) -> None:
+    async def run(self, planned: tuple[PlannedFault, ...]) -> None:
         """Carry out all faults, and return when they are over."""
         started_at = self.site.timers.now()
         async with trio.open_nursery() as nursery:
--- a/cranberryrelay/soak/_layout.py
+++ b/cranberryrelay/soak/_layout.py
@@ -1,12 +1,21 @@
 """Addresses of a soak's processes, and the proxies between them."""
 
+import random
 import socket
-from contextlib import ExitStack
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
 LOOPBACK: Final = '127.0.0.1'
+
+# Below the range from which the system takes ports of outgoing connections.
+FIRST_PORT: Final = 20_000
+LAST_PORT: Final = 32_000
+
+# Ports of one run.
+BLOCK_PORTS: Final = 200
 HOST: Final = 'soak.example'
 DOMAINS: Final = ('north', 'south', 'west')
 MODEL_SERVICE: Final = 'drafts'
@@ -99,18 +108,22 @@
     upstreams: tuple[UpstreamPlace, ...]
 
 
-def make_layout(folder: Path, instances: int, engines: int) -> Layout:
-    """Place processes on free ports of loopback.
+@contextmanager
+def open_layout(folder: Path, instances: int, engines: int) -> Iterator[Layout]:
+    """Place processes on ports of loopback that no other run uses."""
+    with _reserve_ports() as ports:
+        yield make_layout(folder, instances, engines, ports)
+
 
-    A third of the engines generates; two plain services are added.
+def make_layout(
+    folder: Path, instances: int, engines: int, ports: Iterator[int]
+) -> Layout:
+    """Place processes; a third of the engines generates.
+
+    Two plain services are added.
     """
     roles = ['decode' if idx % 3 == 0 else 'prefill' for idx in range(engines)]
     roles += ['plain', 'plain']
-    ports = iter(
-        _find_free_ports(
-            2 + instances * _PORTS_EACH + len(roles) * _ENGINE_PORTS
-        )
-    )
     return Layout(
         folder=folder,
         store_port=next(ports),
@@ -136,17 +149,28 @@
     )
 
 
-def _find_free_ports(count: int) -> list[int]:
-    with ExitStack() as stack:
-        probes = [
-            stack.enter_context(
-                socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            )
-            for _ in range(count)
-        ]
-        for probe in probes:
-            probe.bind((LOOPBACK, 0))
-        return [probe.getsockname()[1] for probe in probes]
+@contextmanager
+def _reserve_ports() -> Iterator[Iterator[int]]:
+    """Reserve a block of ports by holding its first one."""
+    rng = random.SystemRandom()
+    while True:
+        first = rng.randrange(FIRST_PORT, LAST_PORT, BLOCK_PORTS)
+        held = _hold_port(first)
+        if held is not None:
+            break
+    with held:
+        yield iter(range(first + 1, first + BLOCK_PORTS))
+
+
+def _hold_port(port: int) -> socket.socket | None:
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        held.bind((LOOPBACK, port))
+    except OSError:
+        # Another run has it.
+        held.close()
+        return None
+    return held
 
 
 def write_boot(layout: Layout, place: InstancePlace) -> Path:
--- a/cranberryrelay/soak/_run.py
+++ b/cranberryrelay/soak/_run.py
@@ -25,10 +25,10 @@
     GRACE_SECONDS,
     InstancePlace,
     Layout,
-    make_layout,
+    open_layout,
 )
 from cranberryrelay.soak._promises import OK, Broken, find_broken
-from cranberryrelay.soak._site import RELAY_MODULE, Site, open_site
+from cranberryrelay.soak._site import RELAY_COMMAND, Site, open_site
 from cranberryrelay.standins import BegunRun, read_runs
 from cranberryrelay.timing import TimerService, open_timer_service
 
@@ -53,8 +53,12 @@
     # Number of engines.
     engines: int = 6
 
-    # Module that an instance runs; a broken variant to test the soak.
-    relay_module: str = RELAY_MODULE
+    # Module that an instance runs, and its arguments; a broken variant to
+    # test the soak.
+    relay: tuple[str, ...] = RELAY_COMMAND
+
+    # Faults; drawn from the seed if there are none.
+    faults: tuple[PlannedFault, ...] = ()
 
 
 class SoakReport(NamedTuple):
@@ -77,17 +81,18 @@
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakReport:
     """Run the soak in a folder, which keeps logs and runs."""
     (folder / 'runs').mkdir(parents=True, exist_ok=True)
-    layout = make_layout(folder, plan.instances, plan.engines)
-    faults = plan_faults(random.Random(plan.seed), plan.seconds, layout)
-    async with (
-        open_timer_service() as timers,
-        open_site(layout, timers, plan.relay_module) as site,
-    ):
-        evidence = await _gather(plan, site, faults, timers)
+    with open_layout(folder, plan.instances, plan.engines) as layout:
+        rng = random.Random(plan.seed)
+        faults = plan.faults or tuple(plan_faults(rng, plan.seconds, layout))
+        async with (
+            open_timer_service() as timers,
+            open_site(layout, timers, plan.relay) as site,
+        ):
+            evidence = await _gather(plan, site, faults, timers)
     answered = sum(one.status == OK for one in evidence.outcomes)
     return SoakReport(
         plan=plan,
-        faults=tuple(faults),
+        faults=faults,
         sent=len(evidence.outcomes),
         answered=answered,
         broken=tuple(find_broken(evidence)),
@@ -97,7 +102,7 @@
 async def _gather(
     plan: SoakPlan,
     site: Site,
-    faults: list[PlannedFault],
+    faults: tuple[PlannedFault, ...],
     timers: TimerService,
 ) -> Evidence:
     async with trio.open_nursery() as requests:
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -32,7 +32,7 @@
 
 START_SECONDS: Final = 30.0
 RETRY_SECONDS: Final = 0.2
-RELAY_MODULE: Final = 'cranberryrelay.relay_program'
+RELAY_COMMAND: Final = ('cranberryrelay.relay_program', 'run')
 STANDINS_MODULE: Final = 'cranberryrelay.standins.target_program'
 
 # Steps between versions of the note, as the platform's are uneven.
@@ -111,7 +111,7 @@
 
 @asynccontextmanager
 async def open_site(
-    layout: Layout, timers: TimerService, relay_module: str
+    layout: Layout, timers: TimerService, relay: tuple[str, ...]
 ) -> AsyncIterator[Site]:
     """Start the processes; end those that still run at the end."""
     url = f'http://{LOOPBACK}:{layout.store_port}'
@@ -121,7 +121,7 @@
         stack.push_async_callback(_end_all, site)
         await _start_upstreams(site, stack)
         for place in layout.instances:
-            await _start_instance(site, place, relay_module, stack)
+            await _start_instance(site, place, relay, stack)
         for place in layout.instances:
             await site.wait_ready(place)
         yield site
@@ -157,13 +157,16 @@
 
 
 async def _start_instance(
-    site: Site, place: InstancePlace, module: str, stack: AsyncExitStack
+    site: Site,
+    place: InstancePlace,
+    relay: tuple[str, ...],
+    stack: AsyncExitStack,
 ) -> None:
     layout = site.layout
     boot = write_boot(layout, place)
     child = Child(
         place.name,
-        [module, 'run'],
+        list(relay),
         layout.folder / f'{place.name}.log',
         MappingProxyType({_BOOT_VARIABLE: str(boot)}),
     )
--- a/cranberryrelay/soak/tests/broken_relay.py
+++ b/cranberryrelay/soak/tests/broken_relay.py
@@ -1,9 +1,9 @@
 """An instance with one part broken, to show that the soak can fail.
 
-The environment names the part: ``BROKEN_PART``.
+The first argument names the part.
 """
 
-import os
+import sys
 from collections.abc import AsyncIterator
 from types import MappingProxyType
 from typing import Any, Final
@@ -14,7 +14,10 @@
 from cranberryrelay.relay import _model_path, _plain_path, _state
 from cranberryrelay.relay_program import main
 
-PART_VARIABLE: Final = 'BROKEN_PART'
+
+def replace(part: type, name: str, method: Any) -> None:
+    """Replace a method of a part."""
+    setattr(part, name, method)
 
 
 def repeat_anything() -> None:
@@ -23,7 +26,7 @@
     def should_repeat(self: Any, ended: Result[Any, Failure]) -> bool:
         return ended.is_err()
 
-    _plain_path.PlainRun.should_repeat = should_repeat  # type: ignore[method-assign]
+    replace(_plain_path.PlainRun, 'should_repeat', should_repeat)
 
 
 def keep_the_first_note() -> None:
@@ -33,7 +36,7 @@
     def apply_first(self: Any, table: Any, source: str) -> bool:
         return self.table is None and apply(self, table, source)
 
-    _state.RelayState.apply_table = apply_first  # type: ignore[method-assign]
+    replace(_state.RelayState, 'apply_table', apply_first)
 
 
 def lose_an_event() -> None:
@@ -47,7 +50,7 @@
             if number != 3:
                 yield event
 
-    _model_path.ModelRun.pass_events = pass_most  # type: ignore[method-assign]
+    replace(_model_path.ModelRun, 'pass_events', pass_most)
 
 
 def send_to_leaving_upstreams() -> None:
@@ -57,7 +60,7 @@
     def apply_staying(self: Any, upstream: Any, source: str) -> None:
         apply(self, upstream._replace(leaving=False), source)
 
-    _state.RelayState.apply_upstream = apply_staying  # type: ignore[method-assign]
+    replace(_state.RelayState, 'apply_upstream', apply_staying)
 
 
 PARTS: Final = MappingProxyType(
@@ -70,5 +73,5 @@
 )
 
 if __name__ == '__main__':
-    PARTS[os.environ[PART_VARIABLE]]()
+    PARTS[sys.argv.pop(1)]()
     main()
--- a/cranberryrelay/soak/tests/test_promises.py
+++ b/cranberryrelay/soak/tests/test_promises.py
@@ -44,7 +44,8 @@
 
 def make_evidence(*outcomes: Outcome, **changes: Any) -> Evidence:
     """Make the evidence of a run in which all requests were run once."""
-    runs = [BegunRun(one.request_id, 'u1', SENT_AT + 0.1) for one in outcomes]
+    ids = dict.fromkeys(one.request_id for one in outcomes)
+    runs = [BegunRun(one, 'u1', SENT_AT + 0.1) for one in ids]
     evidence = Evidence(
         outcomes=outcomes,
         last_outcomes=(),
@@ -58,9 +59,9 @@
     return evidence._replace(**changes)
 
 
-def ran(count: int, at: float = SENT_AT + 0.1) -> tuple[BegunRun, ...]:
+def ran(count: int) -> tuple[BegunRun, ...]:
     """Make runs of the request."""
-    return (BegunRun('r1', 'u1', at),) * count
+    return (BegunRun('r1', 'u1', SENT_AT + 0.1),) * count
 
 
 def disturb(subject: str, at: float, planned: bool) -> tuple[Disturbance, ...]:
@@ -69,6 +70,7 @@
 
 
 CHARGE = make_outcome(RequestKind.CHARGE)
+READ = make_outcome(RequestKind.READ)
 TAG = make_outcome(RequestKind.TAG)
 PROBE = make_outcome(RequestKind.PROBE, version=6)
 CUT = make_outcome(
@@ -87,7 +89,7 @@
 
 
 CASES = (
-    Case('sound', make_evidence(CHARGE, TAG._replace(request_id='r1')), ''),
+    Case('sound', make_evidence(CHARGE, READ), ''),
     Case('charge ran twice', make_evidence(CHARGE, runs=ran(2)), 'run once'),
     Case('tag ran twice', make_evidence(TAG, runs=ran(2)), ''),
     Case(
--- a/cranberryrelay/soak/tests/test_soak.py
+++ b/cranberryrelay/soak/tests/test_soak.py
@@ -3,51 +3,71 @@
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
-from unittest import TestCase, mock
+from unittest import TestCase
 
 import trio
-from nose2.tools import params
 
 from cranberryrelay.soak import SoakPlan, SoakReport, run_soak
-from cranberryrelay.soak.tests.broken_relay import PART_VARIABLE
+from cranberryrelay.soak._faults import FaultKind, PlannedFault
 
 BROKEN_MODULE = 'cranberryrelay.soak.tests.broken_relay'
 SECONDS = 8.0
+SEED = 23
 
 
-class BrokenCase(NamedTuple):
-    """A row: a broken part, a seed, and the promise that is found broken."""
+# Each of them meets a call of the service with a chance of two in three.
+RESETS = tuple(
+    PlannedFault(1 + idx / 2, 0, FaultKind.UPSTREAM_RESET, f'plain-0{plain}', 0)
+    for idx in range(8)
+    for plain in (4, 5)
+)
+NOTE = (PlannedFault(1, 0, FaultKind.NOTES, '', 0),)
+
+
+class Case(NamedTuple):
+    """A row: the part that is broken, the faults, the promise found broken."""
 
     part: str
-    seed: int
+    faults: tuple[PlannedFault, ...]
     promise: str
 
 
-BROKEN_CASES = (
-    BrokenCase('repeats', 3, 'run once'),
-    BrokenCase('notes', 3, 'notes in force'),
-    BrokenCase('events', 3, 'own and whole answers'),
+CASES = (
+    Case('', (), ''),
+    Case('repeats', RESETS, 'run once'),
+    Case('notes', NOTE, 'notes in force'),
+    Case('events', NOTE, 'own and whole answers'),
 )
 
 
-def run(plan: SoakPlan) -> SoakReport:
-    """Run a plan in a folder of its own."""
-    with tempfile.TemporaryDirectory() as folder:
-        return trio.run(run_soak, plan, Path(folder))
+class SoakTest(TestCase):
+    """Short seeded runs beside each other."""
 
+    def test_sound_and_broken_parts(self) -> None:
+        reports = trio.run(run_all)
+        for case in CASES:
+            with self.subTest(case.part):
+                report = reports[case.part]
+                self.assertGreater(report.answered, 0)
+                promises = {one.promise for one in report.broken}
+                if case.promise:
+                    self.assertIn(case.promise, promises)
+                else:
+                    self.assertEqual(report.broken, ())
 
-class SoakTest(TestCase):
-    """A short seeded run."""
-
-    def test_sound(self) -> None:
-        report = run(SoakPlan(1, SECONDS, 3, 4))
-        self.assertEqual(report.broken, ())
-        self.assertGreater(report.answered, 0)
-
-    @params(*((case,) for case in BROKEN_CASES))
-    def test_broken_part_is_found(self, case: BrokenCase) -> None:
-        plan = SoakPlan(case.seed, SECONDS, 3, 4, BROKEN_MODULE)
-        with mock.patch.dict('os.environ', {PART_VARIABLE: case.part}):
-            report = run(plan)
-        promises = {one.promise for one in report.broken}
-        self.assertIn(case.promise, promises)
+
+async def run_all() -> dict[str, SoakReport]:
+    """Run all cases at once."""
+    reports: dict[str, SoakReport] = {}
+
+    async def run_case(case: Case, folder: Path) -> None:
+        plan = SoakPlan(SEED, SECONDS, 3, 4, faults=case.faults)
+        if case.part:
+            plan = plan._replace(relay=(BROKEN_MODULE, case.part, 'run'))
+        reports[case.part] = await run_soak(plan, folder / f'_{case.part}')
+
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            for case in CASES:
+                nursery.start_soon(run_case, case, Path(folder))
+    return reports
--- a/cranberryrelay/standins/_target_engine.py
+++ b/cranberryrelay/standins/_target_engine.py
@@ -19,7 +19,7 @@
 
 # Role of a plain service, and the time that a call of it takes, in seconds.
 PLAIN: Final = 'plain'
-WORK_SECONDS: Final = 0.08
+WORK_SECONDS: Final = 0.3
 _MISDIRECTED: Final = 421
 _METHODS: Final = ('GET', 'POST')
 
