Serve all HTTP from one place; log what logs and account give up

The set-up of the HTTP server stood twice, and the entry lacked the shield that lets the server watch connections for idleness after an answer, so that idle ones outlived a stop; it has it now. Dropped log lines and requests left out of the account were counted without a line; both are logged with their number.

--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -84,9 +84,6 @@
     LAST_REPORT_SECONDS as LAST_REPORT_SECONDS,
 )
 from cranberryrelay.entry._program import NOT_READY_SECONDS as NOT_READY_SECONDS
-from cranberryrelay.entry._program import (
-    REQUEST_HEAD_BYTES_LIMIT as REQUEST_HEAD_BYTES_LIMIT,
-)
 from cranberryrelay.entry._program import DrainTrigger as DrainTrigger
 from cranberryrelay.entry._program import main as main
 from cranberryrelay.entry._program import serve_entry as serve_entry
--- a/cranberryrelay/entry/_http_app.py
+++ b/cranberryrelay/entry/_http_app.py
@@ -11,6 +11,7 @@
 from cranberryrelay.entry._context import Incoming
 from cranberryrelay.entry._pipeline import Pipeline
 from cranberryrelay.entry._replies import reply_headers, reply_problem
+from cranberryrelay.serving import CarefulApp
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 _METHODS: Final = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -68,7 +69,7 @@
 
 def make_entry_app(pipeline: Pipeline) -> QuartTrio:
     """Make the app of the callers' interface."""
-    app = QuartTrio('cranberryrelay.entry')
+    app = CarefulApp('cranberryrelay.entry')
     app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
     routes = EntryRoutes(pipeline)
     app.post('/v1/completions')(routes.complete)
--- a/cranberryrelay/entry/_program.py
+++ b/cranberryrelay/entry/_program.py
@@ -6,8 +6,6 @@
 import fire
 import httpx
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from cranberryrelay.entry._core import EntryCore
 from cranberryrelay.entry._http_app import make_entry_app
@@ -16,6 +14,7 @@
 from cranberryrelay.entry._pipeline import Pipeline
 from cranberryrelay.entry._telemetry import Telemetry
 from cranberryrelay.programs import ProgramCommands, make_peer_codec
+from cranberryrelay.serving import HttpPlace, serve_http
 from cranberryrelay.settings import Settings
 from cranberryrelay.timing import TimerService, open_timer_service
 from cranberryrelay.wire import open_context, open_peer_client
@@ -24,7 +23,9 @@
 NOT_READY_SECONDS: Final = 0.5
 LAST_REPORT_SECONDS: Final = 3.0
 CONNECTIONS_LIMIT: Final = 2000
-REQUEST_HEAD_BYTES_LIMIT: Final = 65_536
+
+# An idle connection of a caller is closed after this time, in seconds.
+IDLE_SECONDS: Final = 20.0
 _POLL_SECONDS: Final = 0.1
 
 
@@ -68,16 +69,9 @@
 async def _serve_http(
     settings: Settings, pipeline: Pipeline, stop: trio.Event
 ) -> None:
-    config = Config()
-    config.bind = [settings.entry_address]
-    config.graceful_timeout = LAST_BYTES_SECONDS
-    config.h11_max_incomplete_size = REQUEST_HEAD_BYTES_LIMIT
-    config.accesslog = None
-    config.errorlog = None
+    place = HttpPlace(settings.entry_address, LAST_BYTES_SECONDS, IDLE_SECONDS)
     draining = DrainTrigger(pipeline, stop)
-    await serve(
-        make_entry_app(pipeline), config, shutdown_trigger=draining.wait
-    )
+    await serve_http(make_entry_app(pipeline), place, draining.wait)
 
 
 class DrainTrigger:
--- a/cranberryrelay/logs/_logs.py
+++ b/cranberryrelay/logs/_logs.py
@@ -54,7 +54,7 @@
 
 
 class DroppingHandler(QueueHandler):
-    """Counts the lines that the queue has no room for."""
+    """Drops the lines that the queue has no room for, and says how many."""
 
     def __init__(self, lines: Queue[logging.LogRecord]) -> None:
         super().__init__(lines)
@@ -63,6 +63,18 @@
     def enqueue(self, record: logging.LogRecord) -> None:
         """Hand a line to the thread that writes."""
         try:
+            if self.dropped:
+                self.queue.put_nowait(make_drop_record(self.dropped))
+                self.dropped = 0
             self.queue.put_nowait(record)
         except Full:
             self.dropped += 1
+
+
+def make_drop_record(count: int) -> logging.LogRecord:
+    """Make the line that tells of dropped ones."""
+    record = logging.LogRecord(
+        __name__, logging.WARNING, __file__, 0, 'lines dropped', None, None
+    )
+    record.count = count
+    return record
--- a/cranberryrelay/relay/_account_book.py
+++ b/cranberryrelay/relay/_account_book.py
@@ -4,10 +4,12 @@
 store.
 """
 
+import logging
 from typing import Final, NamedTuple, TypedDict
 
-# Requests held at most; the oldest are given up, which is logged.
+# Requests held at most; later ones are left out, which is logged.
 HELD_LIMIT: Final = 20_000
+_LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
 class AccountEntry(NamedTuple):
@@ -44,14 +46,23 @@
         self.given_up = 0
 
     def note(self, request_id: str, revision: int) -> None:
-        """Note a request at its admission."""
+        """Note a request at its admission.
+
+        Beyond the limit it is left out of the account, which is logged when
+        that begins and, with the number, when it ends.
+        """
         if len(self.entries) >= HELD_LIMIT:
+            if not self.given_up:
+                _LOG.error('account full', extra={'held': HELD_LIMIT})
             self.given_up += 1
             return
         self.entries.append(AccountEntry(request_id, revision))
 
     def take(self) -> list[AccountEntry]:
         """Take out all entries."""
+        if self.given_up:
+            _LOG.error('requests not accounted', extra={'count': self.given_up})
+            self.given_up = 0
         taken = self.entries
         self.entries = []
         return taken
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -1,12 +1,10 @@
 """The callers' interface over HTTP, and the balancer's question."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from functools import partial
 from http import HTTPStatus
 from typing import Any, Final
 
-import trio
 from quart import Response, request
 from quart_trio import QuartTrio
 from result import Err
@@ -17,6 +15,7 @@
 from cranberryrelay.relay._context import StreamReply, Tools, WholeReply
 from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._state import ActiveRequest
+from cranberryrelay.serving import CarefulApp
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 
@@ -25,8 +24,6 @@
 
 # Time after which refused callers may come back, in seconds.
 RETRY_AFTER_SECONDS: Final = 0.3
-# Sends a message of the app to the server.
-Send = Callable[[Any], Awaitable[None]]
 _STACK: Final = 'cranberryrelay.stack'
 
 
@@ -139,25 +136,6 @@
     return headers
 
 
-async def send_to_end(send: Send, message: Any) -> None:
-    """Let the server handle the last message of a response to its end.
-
-    The server tells the app of the end of the request while it handles that
-    message, upon which the app cancels its tasks; the server would be cut
-    short before it watches the connection for idleness.
-    """
-    with trio.CancelScope(shield=not message.get('more_body', False)):
-        await send(message)
-
-
-class CarefulApp(QuartTrio):
-    """Has the server handle the last message of each response to its end."""
-
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Handle one ASGI scope."""
-        await super().__call__(scope, receive, partial(send_to_end, send))
-
-
 class ClosingApp(CarefulApp):
     """Closes what was opened for a request when the request has ended."""
 
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -2,14 +2,11 @@
 
 import logging
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final, NamedTuple
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
-from quart_trio import QuartTrio
 
 from cranberryrelay.relay._account_writer import AccountWriter
 from cranberryrelay.relay._arrival import Dialect
@@ -29,6 +26,7 @@
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._upstream_call import make_upstream_client
+from cranberryrelay.serving import HttpPlace, serve_http
 from cranberryrelay.timing import TimerService, open_timer_service
 from cranberryrelay.wire import (
     CurveKeys,
@@ -37,7 +35,6 @@
     open_peer_network,
 )
 
-HEAD_BYTES_LIMIT: Final = 65_536
 IDLE_SECONDS: Final = 20.0
 
 # The balancer asks once a second and needs two misses.
@@ -165,40 +162,19 @@
     draining = DrainTrigger(tools, talk, stop)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            _serve_app,
+            serve_http,
             make_ready_app(tools),
-            settings.ready_address,
-            last_seconds,
+            HttpPlace(settings.ready_address, last_seconds, IDLE_SECONDS),
             trio.sleep_forever,
         )
-        await _serve_app(
+        await serve_http(
             make_front_app(tools),
-            settings.front_address,
-            last_seconds,
+            HttpPlace(settings.front_address, last_seconds, IDLE_SECONDS),
             draining.wait,
         )
         nursery.cancel_scope.cancel()
 
 
-async def _serve_app(
-    app: QuartTrio,
-    address: str,
-    last_seconds: float,
-    trigger: Callable[[], Awaitable[None]],
-) -> None:
-    config = Config()
-    config.bind = [address]
-    config.graceful_timeout = last_seconds
-    config.h11_max_incomplete_size = HEAD_BYTES_LIMIT
-    config.keep_alive_timeout = IDLE_SECONDS
-    config.keep_alive_max_requests = 1_000_000
-    config.include_server_header = False
-    config.include_date_header = False
-    config.accesslog = None
-    config.errorlog = None
-    await serve(app, config, shutdown_trigger=trigger)
-
-
 class DrainTrigger:
     """Has the balancer turn away first, then stops taking requests.
 
