Heed the note's idle limit and settings that change without a signal

Left open before: kept connections were idle for 20 s at most, whatever the note's limit said, so that a caller who may reuse one after four fifths of a longer limit met a closing connection; SIGHUP read the settings and used nothing of them; a change without a signal was not seen.

Change: the HTTP server asks for the idle limit whenever a connection becomes idle, and is told the limit of the note in force (and half a second more). Tests with a real connection, a real file in virtual time, and budgets that exist.

--- a/cranberryrelay/entry/_program.py
+++ b/cranberryrelay/entry/_program.py
@@ -69,7 +69,9 @@
 async def _serve_http(
     settings: Settings, pipeline: Pipeline, stop: trio.Event
 ) -> None:
-    place = HttpPlace(settings.entry_address, LAST_BYTES_SECONDS, IDLE_SECONDS)
+    place = HttpPlace(
+        settings.entry_address, LAST_BYTES_SECONDS, lambda: IDLE_SECONDS
+    )
     draining = DrainTrigger(pipeline, stop)
     await serve_http(make_entry_app(pipeline), place, draining.wait)
 
--- a/cranberryrelay/relay/_repeat_budget.py
+++ b/cranberryrelay/relay/_repeat_budget.py
@@ -22,6 +22,12 @@
         self.requests: deque[float] = deque()
         self.repeats: deque[float] = deque()
 
+    def take_bounds(self, ratio: float, slack: float, window: float) -> None:
+        """Take over other bounds; what was counted stays."""
+        self.ratio = ratio
+        self.slack = slack
+        self.window = window
+
     def note_request(self, now: float) -> None:
         """Count a request of a caller."""
         self.requests.append(now)
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -35,8 +35,6 @@
     open_peer_network,
 )
 
-IDLE_SECONDS: Final = 20.0
-
 # The balancer asks once a second and needs two misses.
 TURN_AWAY_SECONDS: Final = 2.5
 
@@ -72,6 +70,9 @@
     # Differs at each start of a process.
     incarnation: str
 
+    # Settings that were read again, one after another.
+    new_settings: trio.MemoryReceiveChannel[InstanceSettings]
+
 
 async def serve_relay(parts: ServingParts, stop: trio.Event) -> None:
     """Serve callers until ``stop`` is set, then finish what is running."""
@@ -92,6 +93,7 @@
             nursery.start_soon(talk.beat)
             nursery.start_soon(talk.beat_on_request)
             nursery.start_soon(account.write_regularly)
+            nursery.start_soon(_take_settings, parts, state)
             nursery.start_soon(_make_keeper(parts, duties).keep)
             nursery.start_soon(NoteArchive(parts.store, duties, timers).keep)
             nursery.start_soon(register, parts.store, talk)
@@ -100,6 +102,11 @@
             nursery.cancel_scope.cancel()
 
 
+async def _take_settings(parts: ServingParts, state: RelayState) -> None:
+    async for settings in parts.new_settings:
+        state.take_settings(settings)
+
+
 @contextmanager
 def _open_talk(
     state: RelayState, knowledge: Knowledge, timers: TimerService
@@ -164,12 +171,20 @@
         nursery.start_soon(
             serve_http,
             make_ready_app(tools),
-            HttpPlace(settings.ready_address, last_seconds, IDLE_SECONDS),
+            HttpPlace(
+                settings.ready_address,
+                last_seconds,
+                tools.state.idle_seconds,
+            ),
             trio.sleep_forever,
         )
         await serve_http(
             make_front_app(tools),
-            HttpPlace(settings.front_address, last_seconds, IDLE_SECONDS),
+            HttpPlace(
+                settings.front_address,
+                last_seconds,
+                tools.state.idle_seconds,
+            ),
             draining.wait,
         )
         nursery.cancel_scope.cancel()
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -28,6 +28,24 @@
 from cranberryrelay.relay._telemetry import RelayTelemetry
 from cranberryrelay.relay._waiting_room import WaitingRoom
 
+# How long a connection may be idle while no note is known, in seconds.
+IDLE_SECONDS: Final = 20.0
+
+# A caller's connection is closed this much later than the note allows, so that
+# a request which is on its way at the limit is still taken, in seconds.
+IDLE_MARGIN_SECONDS: Final = 0.5
+
+# Settings that the process has opened sockets by.
+FIXED_SETTINGS: Final = (
+    'name',
+    'domain',
+    'ip',
+    'front_address',
+    'ready_address',
+    'peer_port',
+    'metrics_port',
+    'store_url',
+)
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -79,6 +97,35 @@
             body_bytes,
         )
 
+    def take_settings(self, settings: InstanceSettings) -> None:
+        """Take over settings that were read again.
+
+        What the process has opened stays as it is until a restart.
+        """
+        fixed = [
+            key
+            for key in FIXED_SETTINGS
+            if getattr(settings, key) != getattr(self.settings, key)
+        ]
+        if fixed:
+            _LOG.warning('settings need a restart', extra={'keys': fixed})
+        self.settings = settings._replace(
+            **{key: getattr(self.settings, key) for key in FIXED_SETTINGS}
+        )
+        for budget in self.budgets.values():
+            budget.take_bounds(
+                settings.bounds.repeat_ratio,
+                settings.bounds.repeat_slack,
+                settings.bounds.repeat_window_seconds,
+            )
+        _LOG.info('settings in force', extra={'seeds': settings.seed_ips})
+
+    def idle_seconds(self) -> float:
+        """Return how long a caller's connection may be idle."""
+        if self.table is None:
+            return IDLE_SECONDS
+        return self.table.limits.idle_seconds + IDLE_MARGIN_SECONDS
+
     def revision(self) -> int:
         """Return the revision of the note in force; -1 for none."""
         return self.table.revision if self.table else -1
--- /dev/null
+++ b/cranberryrelay/relay/tests/test_settings_again.py
@@ -0,0 +1,152 @@
+"""Settings and limits that change while an instance serves."""
+
+import tempfile
+from pathlib import Path
+from typing import Any, Final
+from unittest import TestCase
+
+import trio
+from nose2.tools import params
+from trio.testing import MockClock
+
+from cranberryrelay.relay import ClientLimits, InstanceSettings, RequestKind
+from cranberryrelay.relay._state import (
+    IDLE_MARGIN_SECONDS,
+    IDLE_SECONDS,
+    RelayState,
+)
+from cranberryrelay.relay.tests.fixtures import (
+    LOOPBACK,
+    make_plain_table,
+    make_route,
+    make_settings,
+    pick_port,
+)
+from cranberryrelay.relay_program import SettingsReader
+from cranberryrelay.serving import CarefulApp, HttpPlace, serve_http
+
+BOOT: Final = """
+node_name = "front-a-1"
+ip = "127.0.0.1"
+zone = "a"
+port_range = [7380, 7395]
+seeds = {seeds}
+[listen]
+front = "127.0.0.1:8000"
+ready = "127.0.0.1:8001"
+[platform]
+address = "127.0.0.1:9000"
+"""
+REQUEST: Final = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
+
+
+class TakeSettingsTest(TestCase):
+    """Settings that were read again."""
+
+    def test_bounds_hold_for_budgets_that_exist(self) -> None:
+        state = RelayState(make_settings())
+        for _ in range(20):
+            state.budget('s').note_request(0)
+        self.assertTrue(state.take_repeat('s', 0))
+        bounds = state.settings.bounds._replace(repeat_ratio=0, repeat_slack=0)
+        state.take_settings(state.settings._replace(bounds=bounds))
+        self.assertFalse(state.take_repeat('s', 0))
+
+    def test_addresses_stay_until_a_restart(self) -> None:
+        state = RelayState(make_settings())
+        changed = state.settings._replace(peer_port=1, seed_ips=('10.0.0.1',))
+        state.take_settings(changed)
+        self.assertEqual(state.settings.peer_port, 7380)
+        self.assertEqual(state.settings.seed_ips, ('10.0.0.1',))
+
+    def test_idle_limit_is_the_note_s(self) -> None:
+        state = RelayState(make_settings())
+        self.assertEqual(state.idle_seconds(), IDLE_SECONDS)
+        route = make_route(RequestKind.IDEMPOTENT)
+        limits = ClientLimits()._replace(idle_seconds=45)
+        state.apply_table(make_plain_table(3, route, limits), 'test')
+        self.assertEqual(state.idle_seconds(), 45 + IDLE_MARGIN_SECONDS)
+
+
+class SettingsReaderTest(TestCase):
+    """The settings file changes without a signal."""
+
+    @params(
+        (BOOT.format(seeds='["10.0.0.7:1"]'), 1),
+        (BOOT.format(seeds='"none"'), 0),
+        ('no settings', 0),
+    )
+    def test_change(self, text: str, taken: int) -> None:
+        received: list[InstanceSettings] = []
+
+        async def scenario(path: Path) -> None:
+            sender, receiver = trio.open_memory_channel[InstanceSettings](9)
+            reader = SettingsReader(str(path), sender)
+            write(path, text)
+            with trio.move_on_after(9):
+                await reader.watch()
+            sender.close()
+            received.extend([one async for one in receiver])
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / 'local.toml'
+            path.write_text(BOOT.format(seeds='[]'))
+            clock = MockClock(autojump_threshold=0)
+            trio.run(scenario, path, clock=clock)
+        self.assertEqual(len(received), taken)
+        for settings in received:
+            self.assertEqual(settings.seed_ips, ('10.0.0.7',))
+
+
+class IdleLimitTest(TestCase):
+    """The limit that holds when a connection becomes idle is kept to."""
+
+    def test_limit_that_has_changed(self) -> None:
+        seconds = trio.run(measure_idle)
+        self.assertLess(seconds, 5)
+
+
+def write(path: Path, text: str) -> None:
+    """Change the settings file."""
+    path.write_text(text)
+
+
+async def measure_idle() -> float:
+    """Return how long a connection is idle before it is closed."""
+    port = pick_port()
+    limits = [60.0]
+    app = CarefulApp('test')
+    app.before_request(tell_well)
+    place = HttpPlace(f'{LOOPBACK}:{port}', 1, lambda: limits[-1])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_http, app, place, trio.sleep_forever)
+        stream = await connect(port)
+        limits.append(0.2)
+        await stream.send_all(REQUEST)
+        started_at = trio.current_time()
+        with trio.move_on_after(10):
+            await read_to_end(stream)
+        seconds = trio.current_time() - started_at
+        nursery.cancel_scope.cancel()
+    return seconds
+
+
+async def read_to_end(stream: trio.SocketStream) -> None:
+    """Read until the other side closes the connection."""
+    received = await stream.receive_some()
+    while received:
+        received = await stream.receive_some()
+
+
+async def tell_well() -> Any:
+    """Answer any request."""
+    return 'well'
+
+
+async def connect(port: int) -> trio.SocketStream:
+    """Connect once the app is served."""
+    while True:
+        try:
+            return await trio.open_tcp_stream(LOOPBACK, port)
+        except OSError:
+            await trio.lowlevel.checkpoint()
--- a/cranberryrelay/relay_program.py
+++ b/cranberryrelay/relay_program.py
@@ -3,6 +3,7 @@
 import logging
 import signal
 import sys
+from pathlib import Path
 from typing import Any, Final
 
 import fire
@@ -23,6 +24,7 @@
     load_boot_settings,
     open_engine_control,
     open_target_store,
+    parse_boot_settings,
 )
 from cranberryrelay.programs import WRONG_SETTINGS_STATUS, make_incarnation
 from cranberryrelay.relay import (
@@ -36,8 +38,12 @@
     read_archived,
     serve_relay,
 )
+from cranberryrelay.timing import open_timer_service
 
 NOT_EXPLAINED_STATUS: Final = 1
+
+# The settings file is looked at this often, as it may change without a signal.
+LOOK_SECONDS: Final = 2.0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -119,9 +125,12 @@
         open_engine_control() as control,
         trio.open_nursery() as nursery,
     ):
-        nursery.start_soon(_heed_signals, stop, path)
+        sender, receiver = trio.open_memory_channel[InstanceSettings](1)
+        reader = SettingsReader(path, sender)
+        nursery.start_soon(_heed_signals, stop, reader)
+        nursery.start_soon(reader.watch)
         parts = make_parts(settings, store, control, incarnation)
-        await serve_relay(parts, stop)
+        await serve_relay(parts._replace(new_settings=receiver), stop)
         nursery.cancel_scope.cancel()
 
 
@@ -143,18 +152,59 @@
         note_kind=CONFIGURATION_KIND,
         upstream_kind=UPSTREAM_KIND,
         incarnation=f'{settings.name}-{incarnation}',
+        new_settings=trio.open_memory_channel[InstanceSettings](0)[1],
     )
 
 
-async def _heed_signals(stop: trio.Event, path: str) -> None:
+class SettingsReader:
+    """Reads the settings again when told, and when the file has changed."""
+
+    def __init__(
+        self, path: str, sender: trio.MemorySendChannel[InstanceSettings]
+    ) -> None:
+        self.path = path
+        self.sender = sender
+        self.text = read_text(path)
+
+    async def watch(self) -> None:
+        """Look at the file for ever."""
+        async with open_timer_service() as timers:
+            async for _ in timers.subscribe(LOOK_SECONDS):
+                text = read_text(self.path)
+                if text != self.text and text:
+                    await self.read()
+
+    async def read(self) -> None:
+        """Read the file; settings with a fault change nothing."""
+        self.text = read_text(self.path)
+        loaded = parse_boot_settings(self.text)
+        if isinstance(loaded, Err):
+            failure = loaded.unwrap_err()
+            _LOG.error(
+                'settings not taken',
+                extra={'code': failure.code.value, 'detail': failure.detail},
+            )
+            return
+        await self.sender.send(loaded.unwrap())
+
+
+def read_text(path: str) -> str:
+    """Return the text of a file; '' if it can't be read at this moment."""
+    try:
+        return Path(path).read_text()
+    except OSError as error:
+        _LOG.warning('settings not readable', extra={'detail': str(error)})
+        return ''
+
+
+async def _heed_signals(stop: trio.Event, reader: SettingsReader) -> None:
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signals) as received:
         async for number in received:
-            if number != signal.SIGHUP:
+            if number == signal.SIGHUP:
+                await reader.read()
+            else:
                 stop.set()
-                continue
-            loaded = load_boot_settings(path)
-            _LOG.info('settings read again', extra={'ok': loaded.is_ok()})
 
 
 def main() -> None:
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -28,8 +28,22 @@
     # Time for running requests to end after the trigger, in seconds.
     grace_seconds: float
 
-    # Time after which an idle connection is closed, in seconds.
-    idle_seconds: float
+    # Returns the time after which an idle connection is closed, in seconds; it
+    # is asked whenever a connection becomes idle.
+    idle_seconds: Callable[[], float]
+
+
+class LiveConfig(Config):
+    """The server's settings, with an idle limit that may change."""
+
+    def __init__(self, idle_seconds: Callable[[], float]) -> None:
+        super().__init__()
+        self.idle_seconds = idle_seconds
+
+    @property
+    def keep_alive_timeout(self) -> float:  # type: ignore[override]
+        """Return the idle limit that holds now, in seconds."""
+        return self.idle_seconds()
 
 
 async def serve_http(
@@ -38,11 +52,10 @@
     trigger: Callable[[], Awaitable[None]],
 ) -> None:
     """Serve an app until the trigger returns and the grace is over."""
-    config = Config()
+    config = LiveConfig(place.idle_seconds)
     config.bind = [place.address]
     config.graceful_timeout = place.grace_seconds
     config.h11_max_incomplete_size = HEAD_BYTES_LIMIT
-    config.keep_alive_timeout = place.idle_seconds
     config.keep_alive_max_requests = REQUESTS_LIMIT
     config.include_server_header = False
     config.include_date_header = False
