Count all known instances for the shared budgets right after a start

An instance of a large fleet counted only those that had reported to it, so that for up to a second after its start it took the whole slack of the budget for repeats for itself; after many are killed at once, all of them do. Members that speak for nobody no longer prepare what a hub would pass on.

--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -235,6 +235,12 @@
     def pass_on(self, now: float) -> None:
         """Tell members what is known, and other hubs if this is one."""
         hub = self.hub
+        is_hub = self.roster.is_hub(now)
+        if not is_hub:
+            hub.take_for_hubs()
+        if not is_hub and not hub.members:
+            hub.take_for_members()
+            return
         backlog = self.state.backlog
         changes = backlog.changes + backlog.heard
         idle = now - self.last_group_beat_at >= HUB_BEAT_SECONDS
@@ -253,10 +259,7 @@
         views = hub.loads_for_members(hub.members, now)
         for name, loads in views.items():
             self.send(name, beat._replace(loads=loads))
-        if not self.roster.is_hub(now):
-            hub.take_for_hubs()
-            return
-        if now - self.last_summary_at < HUBS_BEAT_SECONDS:
+        if not is_hub or now - self.last_summary_at < HUBS_BEAT_SECONDS:
             return
         self.last_summary_at = now
         summary = beat._replace(
@@ -312,13 +315,19 @@
         self.state.backlog.forget_peer(name)
 
     def count_live(self) -> None:
-        """Count the instances that share the budgets."""
+        """Count the instances that share the budgets.
+
+        After a start those that the store names count too, for a while.
+        """
         now = self.timers.now()
+        live = len(self.roster.live_names(now)) + 1
         if not self.roster.grouped:
-            live = self.roster.live_names(now)
-            self.state.live_instances = len(live) + 1
+            self.state.live_instances = live
         elif self.roster.is_hub(now):
-            self.state.live_instances = self.hub.fleet_instances()
+            fleet = self.hub.fleet_instances()
+            self.state.live_instances = max(live, fleet)
+        elif self.hub_beat is None:
+            self.state.live_instances = live
 
 
 @singledispatch
--- a/cranberryrelay/relay/_sharing.py
+++ b/cranberryrelay/relay/_sharing.py
@@ -30,7 +30,7 @@
     def share(
         self, sender: str, beat: LoadBeat | GroupBeat, delay: float
     ) -> None:
-        """Send a peer that has been behind for ``delay`` what it lacks."""
+        """Send a peer, heard just now, what it has lacked for ``delay``."""
         note_behind = self.knowledge.state.revision() > beat.revision
         behind = self.knowledge.upstream_revision > beat.upstream_revision
         peer = self.roster.peers[sender]
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -210,6 +210,16 @@
     check_revisions(group, 20)
 
 
+async def count_all_right_after_a_start(group: Group) -> None:
+    started = 'front-c-07'
+    timers = group.talks[started].timers
+    group.kill(started)
+    await group.start(started, timers)
+    await trio.sleep(0.01)
+    live = group.talks[started].state.live_instances
+    assert live >= INSTANCES, live
+
+
 async def watch_where_no_hub_is_heard(group: Group) -> None:
     alone = 'front-a-05'
     group.wires.cut.add(alone)
@@ -293,6 +303,7 @@
         tell_all_what_a_member_found,
         replace_a_hub_that_was_killed,
         spread_changes_from_any_hub,
+        count_all_right_after_a_start,
         watch_where_no_hub_is_heard,
         let_others_try_while_hubs_lost_the_store,
         go_on_after_a_planned_stop,
