Prove that an order carried out late knew of all that had changed

The target's engines may carry an order out seconds after it was sent and more than once. The specification has the number of orders and the incarnation that each order bears; proved by induction, with three variants caught: no number, no incarnation, orders not counted.

--- a/cranberryrelay/spec/_program.py
+++ b/cranberryrelay/spec/_program.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from cranberryrelay.spec._in_force import make_in_force_system
+from cranberryrelay.spec._late_orders import make_late_orders_system
 from cranberryrelay.spec._ledger import make_ledger_system
 from cranberryrelay.spec._orders import make_orders_system
 from cranberryrelay.spec._system import System, find_violation, prove
@@ -55,6 +56,11 @@
             'order before record',
         ),
     ),
+    Rule(
+        'an order carried out late knew of all that had changed before',
+        make_late_orders_system,
+        ('no number of orders', 'no incarnation', 'orders not counted'),
+    ),
     Rule(
         'a call that may not be repeated is dispatched at most once',
         make_ledger_system,
