Log which instance speaks for this one

On-call engineers could not see from the logs of a large fleet which instance is the hub of a failure domain, or that one is cut off from it.

--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -74,6 +74,7 @@
         self.passed_changes = 0
         self.closed_at = float('-inf')
         self.hub_beat: GroupBeat | None = None
+        self.known_hub = ''
         self.sharer = Sharer(knowledge, self.roster, self.send)
 
     def greet(self, name: str, address: str, answer: bool = True) -> None:
@@ -177,9 +178,17 @@
             if self.is_due(now):
                 self.send_beat(now)
             if self.roster.grouped:
+                self.log_hub(self.roster.hub(now) or self.name)
                 self.pass_on(now)
                 self.close_unused(now)
 
+    def log_hub(self, hub: str) -> None:
+        """Log which instance speaks for this one when that changes."""
+        if hub != self.known_hub:
+            self.known_hub = hub
+            live = self.state.live_instances
+            _LOG.info('hub', extra={'hub': hub, 'instances': live})
+
     def close_unused(self, now: float) -> None:
         """Close connections that were needed for a greeting only."""
         if now - self.closed_at >= UNUSED_SECONDS:
@@ -308,12 +317,6 @@
             address = peer.place.address
             self.network.send(name, address, self.name, message)
 
-    def forget(self, name: str) -> None:
-        """Forget a peer that is about to stop."""
-        self.roster.drop(name)
-        self.hub.members.pop(name, None)
-        self.state.backlog.forget_peer(name)
-
     def count_live(self) -> None:
         """Count the instances that share the budgets.
 
@@ -368,4 +371,6 @@
 
 @take_message.register
 def _(message: Farewell, talk: PeerTalk, sender: str) -> None:
-    talk.forget(sender)
+    talk.roster.drop(sender)
+    talk.hub.members.pop(sender, None)
+    talk.state.backlog.forget_peer(sender)
