--- a/cranberryrelay/soak/_child.py
+++ b/cranberryrelay/soak/_child.py
@@ -12,7 +12,7 @@
 import trio
 
 # Time for a process to end after SIGKILL, in seconds.
-KILL_SECONDS: Final = 10.0
+KILL_SECONDS: Final = 60.0
 NO_VARIABLES: Final[Mapping[str, str]] = MappingProxyType({})
 
 
--- a/cranberryrelay/soak/_evidence.py
+++ b/cranberryrelay/soak/_evidence.py
@@ -9,6 +9,9 @@
 # Everything must be undisturbed for this long to count as calm, in seconds.
 CALM_SECONDS: Final = 4.0
 
+# Subject of stalls of the machine that all processes run on.
+MACHINE: Final = 'machine'
+
 
 class RequestKind(StrEnum):
     """What is asked; the first part of the path."""
@@ -63,7 +66,7 @@
 class Disturbance(NamedTuple):
     """A time in which something was done to a part; times of day."""
 
-    # Name of the part: an instance, an upstream, 'store' or 'note'.
+    # Name of the part: an instance, an upstream, 'store', 'note', 'machine'.
     subject: str
 
     # When it began, and when it ended.
@@ -134,10 +137,13 @@
     explained: tuple[Explained, ...]
 
     def is_calm(self, subjects: frozenset[str], outcome: Outcome) -> bool:
-        """Tell if the subjects were undisturbed before and in a request."""
+        """Tell if the subjects were undisturbed before and in a request.
+
+        Nothing is calm while the machine itself stalls.
+        """
         first = outcome.sent_at - CALM_SECONDS
         return not any(
-            one.subject in subjects
+            one.subject in {*subjects, MACHINE}
             and not one.planned
             and one.begun_at <= outcome.ended_at
             and one.ended_at >= first
@@ -151,4 +157,4 @@
             one.subject
             for one in self.disturbances
             if one.subject not in instances
-        ) - {'store', 'note'}
+        ) - {'store', 'note', MACHINE}
--- a/cranberryrelay/soak/_run.py
+++ b/cranberryrelay/soak/_run.py
@@ -14,6 +14,8 @@
 from cranberryrelay.soak._callers import CallerPool, Target, open_caller
 from cranberryrelay.soak._child import Ending
 from cranberryrelay.soak._evidence import (
+    MACHINE,
+    Disturbance,
     Evidence,
     Explained,
     Outcome,
@@ -37,6 +39,11 @@
 
 EXPLAINED_LIMIT: Final = 8
 
+# How often it is looked whether the machine keeps up, and how late a task may
+# be then, in seconds; a third of the checks' margin.
+LOOK_SECONDS: Final = 0.05
+STALL_SECONDS: Final = 0.25
+
 
 class SoakPlan(NamedTuple):
     """What a run is made from."""
@@ -115,6 +122,7 @@
                 callers.start_soon(
                     pool.call_for_ever, place, partial(_look, site, place)
                 )
+            callers.start_soon(watch_machine, site, timers)
             await Injector(site).run(faults)
             await timers.pause(RECOVER_SECONDS)
             callers.cancel_scope.cancel()
@@ -138,6 +146,18 @@
     )
 
 
+async def watch_machine(site: Site, timers: TimerService) -> None:
+    """Note when the machine is too busy to run a task in time."""
+    while True:
+        before = timers.now()
+        await timers.pause(LOOK_SECONDS)
+        late = timers.now() - before - LOOK_SECONDS
+        if late > STALL_SECONDS:
+            now = timers.utc()
+            stall = Disturbance(MACHINE, now - late, now, planned=False)
+            site.disturbances.append(stall)
+
+
 def _look(site: Site, place: InstancePlace) -> Target:
     starts = site.instances[place.name].starts
     return Target(place, starts, site.version())
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -30,7 +30,8 @@
 from cranberryrelay.soak._proxy import LoopbackProxy, open_proxy
 from cranberryrelay.timing import TimerService
 
-START_SECONDS: Final = 30.0
+# Patience with the start of a process on a busy machine, in seconds.
+START_SECONDS: Final = 120.0
 RETRY_SECONDS: Final = 0.2
 RELAY_COMMAND: Final = ('cranberryrelay.relay_program', 'run')
 STANDINS_MODULE: Final = 'cranberryrelay.standins.target_program'
--- a/cranberryrelay/soak/tests/test_promises.py
+++ b/cranberryrelay/soak/tests/test_promises.py
@@ -149,6 +149,14 @@
         ),
         '',
     ),
+    Case(
+        'note not in force, the machine stalled',
+        make_evidence(
+            PROBE._replace(status=404),
+            disturbances=disturb('machine', SENT_AT - 3, False),
+        ),
+        '',
+    ),
     Case(
         'note replaced meanwhile',
         make_evidence(
