--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo test check spec measure capacity overhead format
+.PHONY: setup demo test check spec measure target soak capacity overhead format
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -32,6 +32,12 @@
 measure: $(STAMP)
 	$(BIN)/cranberryrelay-measure policy
 
+target: $(STAMP)
+	$(BIN)/cranberryrelay-measure target
+
+soak: $(STAMP)
+	$(BIN)/cranberryrelay-soak seeds 1 3
+
 capacity: $(STAMP)
 	$(BIN)/cranberryrelay-measure capacity
 
