Let callers of the soak finish before their connections close

Cause of the red test_soak: reproduced in 1 of 3 runs with the innermost exception printed, "Cannot send a request, as the client has been closed". A request was started in a nursery that outlives the caller's client; when the callers were cancelled, one that had just been started met a closed client.

Change: each caller waits for its own requests; the callers are told to stop instead of being cancelled, so that one nursery goes. test_callers runs without a network. Beside it: writes of the soak's operator are made again until the store acknowledges them; three rows of test_site ended with an exception before. A failure of test_soak now shows the first exception inside groups.

--- a/cranberryrelay/soak/_callers.py
+++ b/cranberryrelay/soak/_callers.py
@@ -46,24 +46,27 @@
 class CallerPool:
     """Callers of all instances, with connections that they keep."""
 
-    def __init__(
-        self, seed: int, timers: TimerService, nursery: trio.Nursery
-    ) -> None:
+    def __init__(self, seed: int, timers: TimerService) -> None:
         self.seed = seed
         self.timers = timers
-        self.nursery = nursery
+
+        # Set to have no more requests sent; those that run go on.
+        self.stopped = False
         self.numbers = itertools.count()
         self.outcomes: list[Outcome] = []
 
-    async def call_for_ever(
+    async def call(
         self, place: InstancePlace, look: Callable[[], Target]
     ) -> None:
-        """Send to one instance until cancelled."""
+        """Send to one instance until stopped, and wait for all answers."""
         rng = random.Random(f'{self.seed} {place.name}')
-        async with open_caller(place) as client:
-            while True:
+        async with (
+            open_caller(place) as client,
+            trio.open_nursery() as nursery,
+        ):
+            while not self.stopped:
                 kind = rng.choices(KINDS, WEIGHTS)[0]
-                self.nursery.start_soon(self.send, client, look(), kind)
+                nursery.start_soon(self.send, client, look(), kind)
                 await self.timers.pause(rng.expovariate(1 / BETWEEN_SECONDS))
 
     async def send(
--- a/cranberryrelay/soak/_run.py
+++ b/cranberryrelay/soak/_run.py
@@ -115,18 +115,17 @@
     faults: tuple[PlannedFault, ...],
     timers: TimerService,
 ) -> Evidence:
-    async with trio.open_nursery() as requests:
-        pool = CallerPool(plan.seed, timers, requests)
+    pool = CallerPool(plan.seed, timers)
+    async with trio.open_nursery() as watching:
+        watching.start_soon(watch_machine, site, timers)
         async with trio.open_nursery() as callers:
             for place in site.layout.instances:
-                callers.start_soon(
-                    pool.call_for_ever, place, partial(_look, site, place)
-                )
-            callers.start_soon(watch_machine, site, timers)
+                look = partial(_look, site, place)
+                callers.start_soon(pool.call, place, look)
             await Injector(site).run(faults)
             await timers.pause(RECOVER_SECONDS)
-            callers.cancel_scope.cancel()
-    outcomes = tuple(pool.outcomes)
+            pool.stopped = True
+        watching.cancel_scope.cancel()
     last = await _send_last(plan, site, timers)
     endings = await _stop_all(site)
     explained = [
@@ -135,7 +134,7 @@
         if one.complete
     ]
     return Evidence(
-        outcomes=outcomes,
+        outcomes=tuple(pool.outcomes),
         last_outcomes=tuple(last),
         runs=tuple(_read_all_runs(site.layout)),
         disturbances=tuple(site.disturbances),
@@ -167,13 +166,12 @@
     plan: SoakPlan, site: Site, timers: TimerService
 ) -> list[Outcome]:
     """Send two requests of each kind to each instance."""
-    async with trio.open_nursery() as nursery:
-        pool = CallerPool(-plan.seed - 1, timers, nursery)
-        for place in site.layout.instances:
-            target = _look(site, place)
-            async with open_caller(place) as client:
-                for kind in (*RequestKind, *RequestKind):
-                    await pool.send(client, target, kind)
+    pool = CallerPool(-plan.seed - 1, timers)
+    for place in site.layout.instances:
+        target = _look(site, place)
+        async with open_caller(place) as client:
+            for kind in (*RequestKind, *RequestKind):
+                await pool.send(client, target, kind)
     return pool.outcomes
 
 
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -7,8 +7,9 @@
 
 import httpx
 import trio
-from result import Err
+from result import Err, Ok, Result
 
+from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -16,6 +17,7 @@
     TargetStore,
     open_target_store,
 )
+from cranberryrelay.relay import KindRecord
 from cranberryrelay.soak._child import Child
 from cranberryrelay.soak._evidence import Disturbance, Leaving, NoteSent
 from cranberryrelay.soak._layout import (
@@ -30,8 +32,8 @@
 from cranberryrelay.soak._proxy import LoopbackProxy, open_proxy
 from cranberryrelay.timing import TimerService
 
-# Patience with the start of a process on a busy machine, in seconds.
-START_SECONDS: Final = 120.0
+# Patience with starts and writes on a busy machine, in seconds.
+PATIENCE_SECONDS: Final = 120.0
 RETRY_SECONDS: Final = 0.2
 RELAY_COMMAND: Final = ('cranberryrelay.relay_program', 'run')
 STANDINS_MODULE: Final = 'cranberryrelay.standins.target_program'
@@ -72,7 +74,7 @@
         """Write the next version of the note."""
         version = self.version() + VERSION_STEP
         sent_at = self.timers.utc()
-        await self._put(
+        await self.put(
             CONFIGURATION_KIND, CONFIGURATION_NAME, make_note(version)
         )
         self.notes.append(NoteSent(version, sent_at, self.timers.utc()))
@@ -82,22 +84,34 @@
     ) -> None:
         """Write the entry of an upstream."""
         entry = make_entry(place, state, self.born)
-        await self._put(UPSTREAM_KIND, place.name, entry)
+        await self.put(UPSTREAM_KIND, place.name, entry)
 
-    async def _put(self, kind: str, name: str, value: Any) -> None:
+    async def put(self, kind: str, name: str, value: Any) -> None:
+        """Write a record, again until the store has acknowledged it.
+
+        A busy machine may keep an answer longer than a call may take, and
+        faults that overlap may write the same entry.
+        """
+        with trio.fail_after(PATIENCE_SECONDS):
+            while isinstance(await self._try_put(kind, name, value), Err):
+                await self.timers.pause(RETRY_SECONDS)
+
+    async def _try_put(
+        self, kind: str, name: str, value: Any
+    ) -> Result[KindRecord, Failure]:
         found = await self.store.read(kind, name)
-        if isinstance(found, Err):
-            created = await self.store.create(kind, name, value)
-            created.unwrap()
-            return
-        record = found.unwrap()._replace(value=value)
-        (await self.store.replace(kind, record)).unwrap()
+        if isinstance(found, Ok):
+            record = found.unwrap()._replace(value=value)
+            return await self.store.replace(kind, record)
+        if found.unwrap_err().code is ResultCode.STORE_NOT_FOUND:
+            return await self.store.create(kind, name, value)
+        return found
 
     async def wait_ready(self, place: InstancePlace) -> None:
         """Wait until an instance says that it is ready."""
         url = f'http://{place.ip}:{place.ready_port}/'
         async with httpx.AsyncClient(trust_env=False) as client:
-            with trio.fail_after(START_SECONDS):
+            with trio.fail_after(PATIENCE_SECONDS):
                 while not await _answers(client, url):
                     await self.timers.pause(RETRY_SECONDS)
 
@@ -187,7 +201,7 @@
 
 async def wait_port(port: int, timers: TimerService) -> None:
     """Wait until a port of loopback takes connections."""
-    with trio.fail_after(START_SECONDS):
+    with trio.fail_after(PATIENCE_SECONDS):
         while not await _connects(port):
             await timers.pause(RETRY_SECONDS)
 
--- /dev/null
+++ b/cranberryrelay/soak/tests/test_callers.py
@@ -0,0 +1,54 @@
+"""Callers that are stopped while their requests run."""
+
+from pathlib import Path
+from unittest import TestCase, mock
+
+import httpx
+import trio
+from trio.testing import MockClock
+
+from cranberryrelay.soak._callers import CallerPool, Target
+from cranberryrelay.soak._evidence import Outcome
+from cranberryrelay.soak._layout import make_layout
+from cranberryrelay.timing import open_timer_service
+
+ANSWER_SECONDS = 0.5
+OPEN_CALLER = 'cranberryrelay.soak._callers.open_caller'
+
+
+async def answer_late(request: httpx.Request) -> httpx.Response:
+    """Answer after a while."""
+    await trio.sleep(ANSWER_SECONDS)
+    return httpx.Response(200, content=b'done')
+
+
+def open_client(place: object) -> httpx.AsyncClient:
+    """Open a client without a network."""
+    return httpx.AsyncClient(
+        transport=httpx.MockTransport(answer_late), base_url='http://test'
+    )
+
+
+class CallerPoolTest(TestCase):
+    """Requests that run when the callers are stopped are answered."""
+
+    def test_stop(self) -> None:
+        with mock.patch(OPEN_CALLER, open_client):
+            outcomes = trio.run(
+                call_for_a_while, clock=MockClock(autojump_threshold=0)
+            )
+        self.assertGreater(len(outcomes), 3)
+        self.assertEqual({one.body for one in outcomes}, {b'done'})
+        self.assertEqual({one.error for one in outcomes}, {''})
+
+
+async def call_for_a_while() -> list[Outcome]:
+    """Stop a caller while several of its requests run."""
+    place = make_layout(Path(), 1, 0, iter(range(99))).instances[0]
+    async with open_timer_service() as timers:
+        pool = CallerPool(5, timers)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pool.call, place, lambda: Target(place, 1, 3))
+            await timers.pause(1)
+            pool.stopped = True
+    return pool.outcomes
--- a/cranberryrelay/soak/tests/test_soak.py
+++ b/cranberryrelay/soak/tests/test_soak.py
@@ -44,7 +44,11 @@
     """Short seeded runs beside each other."""
 
     def test_sound_and_broken_parts(self) -> None:
-        reports = trio.run(run_all)
+        try:
+            reports = trio.run(run_all)
+        except BaseExceptionGroup as group:
+            # The report of a test cuts nested groups before their cause.
+            raise find_cause(group) from None
         for case in CASES:
             with self.subTest(case.part):
                 report = reports[case.part]
@@ -56,6 +60,13 @@
                     self.assertEqual(report.broken, ())
 
 
+def find_cause(error: BaseException) -> BaseException:
+    """Return the first exception inside nested groups."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
 async def run_all() -> dict[str, SoakReport]:
     """Run all cases at once."""
     reports: dict[str, SoakReport] = {}
