Read the settings file in one way; share loopback's ports and the logs' handler

The program read the settings file with a copy of the adapter's code, twice at the start, so that a change between the two reads would not have been seen; it is read once now, and the channel of new settings is no longer made twice. A failure was written and the program ended in three places. Address and ports for tests and stand-ins stood three times, the set-up of a log handler twice.

--- a/cranberryrelay/logs/_logs.py
+++ b/cranberryrelay/logs/_logs.py
@@ -21,13 +21,8 @@
     handler = logging.StreamHandler(sys.stderr)
     static = {'program': program, 'instance': instance}
     handler.setFormatter(JsonFormatter(_FIELDS, static_fields=static))
-    logger = logging.getLogger('cranberryrelay')
-    logger.addHandler(handler)
-    logger.setLevel(logging.INFO)
-    try:
+    with _attach(handler):
         yield
-    finally:
-        logger.removeHandler(handler)
 
 
 @contextmanager
@@ -41,16 +36,24 @@
     static = {'instance': instance, 'incarnation': incarnation}
     writer.setFormatter(JsonFormatter(_FIELDS, static_fields=static))
     listener = QueueListener(lines, writer)
-    handler = DroppingHandler(lines)
+    listener.start()
+    try:
+        with _attach(DroppingHandler(lines)):
+            yield
+    finally:
+        listener.stop()
+
+
+@contextmanager
+def _attach(handler: logging.Handler) -> Iterator[None]:
+    """Have a handler take the package's logs while the context is open."""
     logger = logging.getLogger('cranberryrelay')
     logger.addHandler(handler)
     logger.setLevel(logging.INFO)
-    listener.start()
     try:
         yield
     finally:
         logger.removeHandler(handler)
-        listener.stop()
 
 
 class DroppingHandler(QueueHandler):
--- a/cranberryrelay/platform/__init__.py
+++ b/cranberryrelay/platform/__init__.py
@@ -1,12 +1,10 @@
 """The platform as the system sees it: object API and instance list."""
 
 from cranberryrelay.platform._boot import find_boot_path as find_boot_path
-from cranberryrelay.platform._boot import (
-    load_boot_settings as load_boot_settings,
-)
 from cranberryrelay.platform._boot import (
     parse_boot_settings as parse_boot_settings,
 )
+from cranberryrelay.platform._boot import read_boot_text as read_boot_text
 from cranberryrelay.platform._dialect import TargetDialect as TargetDialect
 from cranberryrelay.platform._engine_control import (
     TargetEngineControl as TargetEngineControl,
--- a/cranberryrelay/platform/_boot.py
+++ b/cranberryrelay/platform/_boot.py
@@ -64,20 +64,19 @@
     return os.environ.get(BOOT_VARIABLE, '')
 
 
-def load_boot_settings(path: str) -> Result[InstanceSettings, Failure]:
-    """Read and check the settings file.
-
-    Errors: ``SETTINGS_UNREADABLE``, ``SETTINGS_INVALID`` with the key.
-    """
+def read_boot_text(path: str) -> Result[str, Failure]:
+    """Read the settings file; errors: ``SETTINGS_UNREADABLE``."""
     try:
-        text = Path(path).read_text()
+        return Ok(Path(path).read_text())
     except OSError as error:
         return Err(fail(ResultCode.SETTINGS_UNREADABLE, str(error)))
-    return parse_boot_settings(text)
 
 
 def parse_boot_settings(text: str) -> Result[InstanceSettings, Failure]:
-    """Parse the text of the settings file; unknown keys are ignored."""
+    """Check the text of the settings file; unknown keys are ignored.
+
+    Errors: ``SETTINGS_UNREADABLE``, ``SETTINGS_INVALID`` with the key.
+    """
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
--- a/cranberryrelay/relay/tests/fixtures.py
+++ b/cranberryrelay/relay/tests/fixtures.py
@@ -3,7 +3,6 @@
 import random
 import socket
 from contextlib import suppress
-from typing import Final
 
 from cranberryrelay.relay import (
     Arrival,
@@ -20,11 +19,8 @@
     ServiceShare,
     make_routing_table,
 )
+from cranberryrelay.standins import FIRST_PORT, LAST_PORT, LOOPBACK
 
-LOOPBACK: Final = '127.0.0.1'
-
-# Below the range from which the system takes ports of outgoing connections.
-PORT_RANGE: Final = (20_000, 32_000)
 BOUNDS = PlatformBounds(
     stable_seconds=3,
     drain_seconds=2,
@@ -120,7 +116,7 @@
     """Return a port on loopback that nobody listens on."""
     rng = random.SystemRandom()
     while True:
-        port = rng.randint(*PORT_RANGE)
+        port = rng.randint(FIRST_PORT, LAST_PORT)
         with (
             suppress(OSError),
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as probe,
--- a/cranberryrelay/relay/tests/test_bad_input.py
+++ b/cranberryrelay/relay/tests/test_bad_input.py
@@ -17,12 +17,12 @@
 from cranberryrelay.relay._front_app import make_front_app
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import (
-    LOOPBACK,
     make_plain_table,
     make_route,
     make_settings,
     pick_port,
 )
+from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import open_timer_service
 
 ANSWER_SECONDS = 2.0
--- a/cranberryrelay/relay/tests/test_planned_stop.py
+++ b/cranberryrelay/relay/tests/test_planned_stop.py
@@ -14,10 +14,10 @@
 from cranberryrelay.relay._front_app import make_ready_app
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import (
-    LOOPBACK,
     make_settings,
     pick_port,
 )
+from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import open_timer_service
 
 STOP_SECONDS = 5.0
--- a/cranberryrelay/relay/tests/test_settings_again.py
+++ b/cranberryrelay/relay/tests/test_settings_again.py
@@ -16,7 +16,6 @@
     RelayState,
 )
 from cranberryrelay.relay.tests.fixtures import (
-    LOOPBACK,
     make_plain_table,
     make_route,
     make_settings,
@@ -24,6 +23,7 @@
 )
 from cranberryrelay.relay_program import SettingsReader
 from cranberryrelay.serving import CarefulApp, HttpPlace, serve_http
+from cranberryrelay.standins import LOOPBACK
 
 BOOT: Final = """
 node_name = "front-a-1"
@@ -80,13 +80,12 @@
         received: list[InstanceSettings] = []
 
         async def scenario(path: Path) -> None:
-            sender, receiver = trio.open_memory_channel[InstanceSettings](9)
-            reader = SettingsReader(str(path), sender)
+            reader = SettingsReader(str(path), BOOT.format(seeds='[]'))
             write(path, text)
             with trio.move_on_after(9):
                 await reader.watch()
-            sender.close()
-            received.extend([one async for one in receiver])
+            reader.sender.close()
+            received.extend([one async for one in reader.receiver])
 
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / 'local.toml'
--- a/cranberryrelay/relay/tests/test_whole_path.py
+++ b/cranberryrelay/relay/tests/test_whole_path.py
@@ -25,12 +25,12 @@
 )
 from cranberryrelay.relay._account_reader import explain_request
 from cranberryrelay.relay.tests.fixtures import (
-    LOOPBACK,
     make_settings,
     pick_port,
 )
 from cranberryrelay.relay_program import make_parts
 from cranberryrelay.standins import (
+    LOOPBACK,
     TargetEngineFaults,
     TargetEngineStandIn,
     TargetStoreFaults,
@@ -99,7 +99,9 @@
         open_target_store(settings.store_url) as store,
         open_engine_control() as control,
     ):
-        await serve_relay(make_parts(settings, store, control, '1'), stop)
+        channel = trio.open_memory_channel[InstanceSettings](0)
+        parts = make_parts(settings, store, control, '1', channel[1])
+        await serve_relay(parts, stop)
 
 
 @asynccontextmanager
--- a/cranberryrelay/relay_program.py
+++ b/cranberryrelay/relay_program.py
@@ -3,13 +3,12 @@
 import logging
 import signal
 import sys
-from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import fire
 import msgspec
 import trio
-from result import Err, Result
+from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure
 from cranberryrelay.logs import open_bounded_logs
@@ -21,10 +20,10 @@
     decode_configuration,
     decode_upstream,
     find_boot_path,
-    load_boot_settings,
     open_engine_control,
     open_target_store,
     parse_boot_settings,
+    read_boot_text,
 )
 from cranberryrelay.programs import WRONG_SETTINGS_STATUS, make_incarnation
 from cranberryrelay.relay import (
@@ -45,6 +44,7 @@
 # The settings file is looked at this often, as it may change without a signal.
 LOOK_SECONDS: Final = 2.0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
+_Found = TypeVar('_Found')
 
 
 class RelayCommands:
@@ -53,11 +53,15 @@
     def run(self, path: str = '') -> None:
         """Serve until SIGTERM; the path defaults to the platform's."""
         path = path or find_boot_path()
-        settings = read_settings(path)
+        text = unwrap_or_exit(read_boot_text(path), WRONG_SETTINGS_STATUS)
+        settings = unwrap_or_exit(
+            parse_boot_settings(text), WRONG_SETTINGS_STATUS
+        )
         incarnation = make_incarnation()
         with open_bounded_logs(settings.name, incarnation):
             _LOG.info('start', extra={'domain': settings.domain})
-            trio.run(_serve, settings, path, incarnation)
+            reader = SettingsReader(path, text)
+            trio.run(_serve, settings, reader, incarnation)
             _LOG.info('stop')
 
     def explain(self, request_id: str, store: str) -> str:
@@ -66,11 +70,7 @@
         ``store`` is the URL of the platform's store; no instance is asked.
         """
         found = trio.run(_explain, str(request_id), store)
-        if isinstance(found, Err):
-            failure = found.unwrap_err()
-            sys.stderr.write(f'{failure.code.value} {failure.detail}\n')
-            sys.exit(NOT_EXPLAINED_STATUS)
-        finding = found.unwrap()
+        finding = unwrap_or_exit(found, NOT_EXPLAINED_STATUS)
         return (
             f'{finding.request_id}: revision {finding.revision}, admitted by '
             f'{finding.instance}, segment {finding.segment}'
@@ -82,26 +82,25 @@
         ``store`` is the URL of the platform's store; no instance is asked.
         """
         found = trio.run(_read_note, revision, store)
-        if isinstance(found, Err):
-            failure = found.unwrap_err()
-            sys.stderr.write(f'{failure.code.value} {failure.detail}\n')
-            sys.exit(NOT_EXPLAINED_STATUS)
-        return msgspec.json.encode(found.unwrap()).decode()
+        note = unwrap_or_exit(found, NOT_EXPLAINED_STATUS)
+        return msgspec.json.encode(note).decode()
 
     def check_settings(self, path: str = '') -> str:
         """Check the settings and start nothing."""
-        read_settings(path or find_boot_path())
+        text = read_boot_text(path or find_boot_path())
+        unwrap_or_exit(
+            text.and_then(parse_boot_settings), WRONG_SETTINGS_STATUS
+        )
         return 'settings: no fault'
 
 
-def read_settings(path: str) -> InstanceSettings:
-    """Read settings, or write the fault and exit with status 2."""
-    loaded = load_boot_settings(path)
-    if isinstance(loaded, Err):
-        failure = loaded.unwrap_err()
+def unwrap_or_exit(found: Result[_Found, Failure], status: int) -> _Found:
+    """Return what was found, or write the fault and exit."""
+    if isinstance(found, Err):
+        failure = found.unwrap_err()
         sys.stderr.write(f'{failure.code.value} {failure.detail}\n')
-        sys.exit(WRONG_SETTINGS_STATUS)
-    return loaded.unwrap()
+        sys.exit(status)
+    return found.unwrap()
 
 
 async def _read_note(revision: int, url: str) -> Result[Any, Failure]:
@@ -117,7 +116,7 @@
 
 
 async def _serve(
-    settings: InstanceSettings, path: str, incarnation: str
+    settings: InstanceSettings, reader: 'SettingsReader', incarnation: str
 ) -> None:
     stop = trio.Event()
     async with (
@@ -125,12 +124,12 @@
         open_engine_control() as control,
         trio.open_nursery() as nursery,
     ):
-        sender, receiver = trio.open_memory_channel[InstanceSettings](1)
-        reader = SettingsReader(path, sender)
         nursery.start_soon(_heed_signals, stop, reader)
         nursery.start_soon(reader.watch)
-        parts = make_parts(settings, store, control, incarnation)
-        await serve_relay(parts._replace(new_settings=receiver), stop)
+        parts = make_parts(
+            settings, store, control, incarnation, reader.receiver
+        )
+        await serve_relay(parts, stop)
         nursery.cancel_scope.cancel()
 
 
@@ -139,6 +138,7 @@
     store: RecordStore,
     control: EngineControl,
     incarnation: str,
+    new_settings: trio.MemoryReceiveChannel[InstanceSettings],
 ) -> ServingParts:
     """Put an instance together with the adapter of the platform."""
     return ServingParts(
@@ -152,32 +152,32 @@
         note_kind=CONFIGURATION_KIND,
         upstream_kind=UPSTREAM_KIND,
         incarnation=f'{settings.name}-{incarnation}',
-        new_settings=trio.open_memory_channel[InstanceSettings](0)[1],
+        new_settings=new_settings,
     )
 
 
 class SettingsReader:
     """Reads the settings again when told, and when the file has changed."""
 
-    def __init__(
-        self, path: str, sender: trio.MemorySendChannel[InstanceSettings]
-    ) -> None:
+    def __init__(self, path: str, text: str) -> None:
         self.path = path
-        self.sender = sender
-        self.text = read_text(path)
+        self.text = text
+        channel = trio.open_memory_channel[InstanceSettings](1)
+        self.sender = channel[0]
+        self.receiver = channel[1]
 
     async def watch(self) -> None:
         """Look at the file for ever."""
         async with open_timer_service() as timers:
             async for _ in timers.subscribe(LOOK_SECONDS):
-                text = read_text(self.path)
-                if text != self.text and text:
+                if read_boot_text(self.path) != Ok(self.text):
                     await self.read()
 
     async def read(self) -> None:
         """Read the file; settings with a fault change nothing."""
-        self.text = read_text(self.path)
-        loaded = parse_boot_settings(self.text)
+        text = read_boot_text(self.path)
+        self.text = text.unwrap_or(self.text)
+        loaded = text.and_then(parse_boot_settings)
         if isinstance(loaded, Err):
             failure = loaded.unwrap_err()
             _LOG.error(
@@ -188,15 +188,6 @@
         await self.sender.send(loaded.unwrap())
 
 
-def read_text(path: str) -> str:
-    """Return the text of a file; '' if it can't be read at this moment."""
-    try:
-        return Path(path).read_text()
-    except OSError as error:
-        _LOG.warning('settings not readable', extra={'detail': str(error)})
-        return ''
-
-
 async def _heed_signals(stop: trio.Event, reader: SettingsReader) -> None:
     signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*signals) as received:
--- a/cranberryrelay/standins/__init__.py
+++ b/cranberryrelay/standins/__init__.py
@@ -21,6 +21,9 @@
 from cranberryrelay.standins._http_app import (
     make_standins_app as make_standins_app,
 )
+from cranberryrelay.standins._loopback import FIRST_PORT as FIRST_PORT
+from cranberryrelay.standins._loopback import LAST_PORT as LAST_PORT
+from cranberryrelay.standins._loopback import LOOPBACK as LOOPBACK
 from cranberryrelay.standins._platform_routes import (
     PlatformRoutes as PlatformRoutes,
 )
--- /dev/null
+++ b/cranberryrelay/standins/_loopback.py
@@ -0,0 +1,9 @@
+"""Where stand-ins and tests listen."""
+
+from typing import Final
+
+LOOPBACK: Final = '127.0.0.1'
+
+# Below the range from which the system takes ports of outgoing connections.
+FIRST_PORT: Final = 20_000
+LAST_PORT: Final = 32_000
--- a/cranberryrelay/standins/target_program.py
+++ b/cranberryrelay/standins/target_program.py
@@ -1,13 +1,14 @@
 """The target platform's stand-ins as programs, each a process of its own."""
 
 from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
 import fire
 import trio
 from hypercorn.config import Config
 from hypercorn.trio import serve
 
+from cranberryrelay.standins._loopback import LOOPBACK
 from cranberryrelay.standins._target_engine import (
     TargetEngineStandIn,
     make_target_engine_app,
@@ -18,8 +19,6 @@
     make_target_store_app,
 )
 
-LOOPBACK: Final = '127.0.0.1'
-
 
 class TargetStandInCommands:
     """Commands of the stand-ins' program."""
