Find the soak's places and links in one way each

A place by name was looked up in two classes, and the link of a fault in two methods; names of disturbed upstreams were gathered anew for each request. No change of what is checked.

--- a/cranberryrelay/soak/_callers.py
+++ b/cranberryrelay/soak/_callers.py
@@ -12,10 +12,10 @@
 from cranberryrelay.soak._layout import (
     CALL_SECONDS,
     HOST,
-    LOOPBACK,
     STREAM_SECONDS,
     InstancePlace,
 )
+from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import TimerService
 
 # Mean time between two requests to an instance, in seconds.
--- a/cranberryrelay/soak/_evidence.py
+++ b/cranberryrelay/soak/_evidence.py
@@ -142,8 +142,9 @@
         Nothing is calm while the machine itself stalls.
         """
         first = outcome.sent_at - CALM_SECONDS
+        concerned = subjects | {MACHINE}
         return not any(
-            one.subject in {*subjects, MACHINE}
+            one.subject in concerned
             and not one.planned
             and one.begun_at <= outcome.ended_at
             and one.ended_at >= first
--- a/cranberryrelay/soak/_injector.py
+++ b/cranberryrelay/soak/_injector.py
@@ -109,12 +109,10 @@
     async def wait_started(self, name: str) -> None:
         """Wait until a process that was started serves."""
         if name in self.site.instances:
-            place = next(
-                one for one in self.site.layout.instances if one.name == name
-            )
-            await self.site.wait_ready(place)
+            await self.site.wait_ready(self.site.layout.instance(name))
         else:
-            await wait_port(self.site.upstream(name).port, self.site.timers)
+            port = self.site.layout.upstream(name).port
+            await wait_port(port, self.site.timers)
 
     @contextmanager
     def holding(self, name: str) -> Iterator[None]:
@@ -155,11 +153,11 @@
         child = self.site.upstreams[fault.target]
         await self.restart(child, fault.lasts)
         self.site.born += 1
-        await self.site.put_upstream(self.site.upstream(fault.target))
+        await self.site.put_upstream(self.site.layout.upstream(fault.target))
 
     async def drain_upstream(self, fault: PlannedFault) -> None:
         """Mark an upstream as leaving for a while."""
-        place = self.site.upstream(fault.target)
+        place = self.site.layout.upstream(fault.target)
         await self.site.put_upstream(place, 'draining')
         acked_at = self.site.timers.utc()
         await self.site.timers.pause(LEAVING_SECONDS)
@@ -168,13 +166,8 @@
         await self.site.put_upstream(place)
 
     async def disturb_link(self, fault: PlannedFault) -> None:
-        """Disturb the link that the fault's kind names."""
-        links = {
-            FaultKind.UPSTREAM_LINK: self.site.upstream_links,
-            FaultKind.STORE_LINK: self.site.store_links,
-            FaultKind.CALLER_LINK: self.site.caller_links,
-        }[fault.kind]
-        await self.turn([links[fault.target]], fault)
+        """Disturb the link that the fault names."""
+        await self.turn([self.find_link(fault)], fault)
 
     async def cut_store(self, fault: PlannedFault) -> None:
         """Disturb the links of all instances to the store."""
@@ -192,11 +185,17 @@
             link.turn(LinkState.SOUND)
 
     async def reset_link(self, fault: PlannedFault) -> None:
-        """Reset all connections of a link."""
+        """Reset all connections of the link that the fault names."""
+        self.find_link(fault).reset()
+
+    def find_link(self, fault: PlannedFault) -> LoopbackProxy:
+        """Return the link that a fault's kind and target name."""
         links = self.site.upstream_links
-        if fault.kind is FaultKind.CALLER_RESET:
+        if fault.kind is FaultKind.STORE_LINK:
+            links = self.site.store_links
+        elif fault.kind in {FaultKind.CALLER_LINK, FaultKind.CALLER_RESET}:
             links = self.site.caller_links
-        links[fault.target].reset()
+        return links[fault.target]
 
     async def put_notes(self, fault: PlannedFault) -> None:
         """Write notes in quick succession."""
--- a/cranberryrelay/soak/_layout.py
+++ b/cranberryrelay/soak/_layout.py
@@ -8,11 +8,7 @@
 from types import MappingProxyType
 from typing import Any, Final, NamedTuple
 
-LOOPBACK: Final = '127.0.0.1'
-
-# Below the range from which the system takes ports of outgoing connections.
-FIRST_PORT: Final = 20_000
-LAST_PORT: Final = 32_000
+from cranberryrelay.standins import FIRST_PORT, LAST_PORT, LOOPBACK
 
 # Ports of one run.
 BLOCK_PORTS: Final = 200
@@ -107,6 +103,14 @@
     # Upstreams.
     upstreams: tuple[UpstreamPlace, ...]
 
+    def instance(self, name: str) -> InstancePlace:
+        """Return the place of an instance."""
+        return next(one for one in self.instances if one.name == name)
+
+    def upstream(self, name: str) -> UpstreamPlace:
+        """Return the place of an upstream."""
+        return next(one for one in self.upstreams if one.name == name)
+
 
 @contextmanager
 def open_layout(folder: Path, instances: int, engines: int) -> Iterator[Layout]:
--- a/cranberryrelay/soak/_promises.py
+++ b/cranberryrelay/soak/_promises.py
@@ -150,13 +150,13 @@
 
 def check_held(seen: Evidence) -> Iterator[str]:
     """Check that requests end at their routes' time limits."""
+    upstreams = seen.upstream_names()
     for outcome in seen.outcomes:
         limit = STREAM_SECONDS if outcome.kind in STREAMS else CALL_SECONDS
         seconds = outcome.ended_at - outcome.sent_at
-        subjects = seen.upstream_names() | {outcome.instance, 'store'}
-        if seconds <= limit + MARGIN_SECONDS:
-            continue
-        if seen.is_calm(subjects, outcome):
+        subjects = upstreams | {outcome.instance, 'store'}
+        late = seconds > limit + MARGIN_SECONDS
+        if late and seen.is_calm(subjects, outcome):
             yield f'{outcome.request_id} was held for {seconds:.2f} s'
 
 
@@ -164,6 +164,7 @@
     """Check that a planned stop breaks off no request that has run."""
     begun = {run.request_id for run in seen.runs}
     stops = [one for one in seen.disturbances if one.planned]
+    upstreams = seen.upstream_names()
     for outcome in seen.outcomes:
         broken = bool(outcome.error) and not outcome.unsent
         if not broken or outcome.request_id not in begun:
@@ -174,7 +175,7 @@
             and outcome.sent_at <= one.ended_at
             for one in stops
         )
-        subjects = seen.upstream_names() | {outcome.instance}
+        subjects = upstreams | {outcome.instance}
         if stopped and seen.is_calm(subjects, outcome):
             yield f'{outcome.request_id}: {outcome.error}'
 
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -21,7 +21,6 @@
 from cranberryrelay.soak._child import Child
 from cranberryrelay.soak._evidence import Disturbance, Leaving, NoteSent
 from cranberryrelay.soak._layout import (
-    LOOPBACK,
     InstancePlace,
     Layout,
     UpstreamPlace,
@@ -30,6 +29,7 @@
     write_boot,
 )
 from cranberryrelay.soak._proxy import LoopbackProxy, open_proxy
+from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import TimerService
 
 # Patience with starts and writes on a busy machine, in seconds.
@@ -62,10 +62,6 @@
         self.leavings: list[Leaving] = []
         self.born = 1
 
-    def upstream(self, name: str) -> UpstreamPlace:
-        """Return the place of an upstream."""
-        return next(one for one in self.layout.upstreams if one.name == name)
-
     def version(self) -> int:
         """Return the newest version of the note that was acknowledged."""
         return self.notes[-1].version if self.notes else 0
