Keep time left, budget and failed upstreams of a request in one class

ModelRun, PromptReader and PlainRun each had them, and placement filtered excluded upstreams in three places. A comment named a field for what it was before. Behaviour as before.

--- a/cranberryrelay/relay/_arrival.py
+++ b/cranberryrelay/relay/_arrival.py
@@ -130,7 +130,7 @@
     # True if another incarnation has the address.
     misdirected: bool
 
-    # Time the upstream keeps the connection idle, in seconds; None if unsaid.
+    # Headers that are passed on to the caller.
     headers: RawHeaders
 
 
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -9,6 +9,7 @@
 
 from cranberryrelay.codes import Failure, Ran, ResultCode, fail
 from cranberryrelay.relay._arrival import KvSource, UpstreamCall
+from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import Sent
 from cranberryrelay.relay._catalogue import Upstream
 from cranberryrelay.relay._context import (
@@ -55,23 +56,16 @@
 )
 
 
-class ModelRun:
+class ModelRun(EngineAttempts):
     """One request's way through the engines."""
 
     def __init__(self, tools: Tools, admitted: Admitted) -> None:
-        self.tools = tools
-        self.admitted = admitted
-        self.log = RequestLog(admitted)
+        super().__init__(tools, admitted, RequestLog(admitted))
         self.reader = PromptReader(tools, admitted, self.log)
-        self.excluded: frozenset[str] = frozenset()
         self.runs = 0
         self.backup: Upstream | None = None
         self.last_number: int | None = admitted.arrival.last_event
 
-    def left(self) -> float:
-        """Return the seconds that are left."""
-        return self.admitted.left(self.tools.timers.now())
-
     async def run(self) -> Result[WholeReply | StreamReply, Failure]:
         """Return an answer whose headers have arrived, or why there is none."""
         opened = await self.open_stream()
@@ -201,19 +195,6 @@
             return False
         return self.take_repeat()
 
-    def take_repeat(self) -> bool:
-        """Take a repeat from the budget that all instances share."""
-        now = self.tools.timers.now()
-        return self.tools.state.take_repeat(self.admitted.service, now)
-
-    def note_failure(self, engine: Upstream, failure: Failure) -> None:
-        """Avoid an engine that failed."""
-        self.excluded |= {engine.name}
-        self.tools.state.note_failure(
-            engine.name, failure, self.tools.timers.now()
-        )
-        self.log.note_failure(engine, failure)
-
     async def pass_events(self, answer: OpenAnswer) -> AsyncIterator[bytes]:
         """Yield whole events; goes on at another engine where allowed."""
         while True:
--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -56,7 +56,6 @@
 # Cost of another running request at a decode engine, as seconds of waiting.
 RUNNING_SECONDS: Final = 0.002
 
-
 # Cost of leaving the own failure domain for a plain service, as a part of
 # its slots.
 OTHER_DOMAIN_BUSY: Final = 0.01
@@ -141,7 +140,8 @@
     around: Surroundings, engine: Upstream, work: ModelWork, now: float
 ) -> Candidate:
     """Predict what a request would find at an engine."""
-    cached = around.prefixes.cached_tokens(engine.name, work.shared_parts())
+    parts = work.shared_parts()
+    cached = around.prefixes.cached_tokens(engine.name, parts)
     cached = min(cached, work.prompt_tokens - 1)
     read = predict_read_seconds(work.prompt_tokens, cached)
     conduct = around.fleet.learned(engine.name, now)
@@ -151,7 +151,7 @@
     cost = wait + conduct.error_rate * FAILURE_SECONDS
     cost += around.far_seconds(engine.domain)
     cost += spread_seconds(engine, work)
-    shared = sum(part.tokens for part in work.shared_parts())
+    shared = sum(part.tokens for part in parts)
     cost += max(shared - cached, 0) * SHARED_TOKEN_SECONDS
     return Candidate(
         engine, work.prompt_tokens - cached, read, plain, wait, cost
@@ -170,11 +170,7 @@
     A long prompt goes to one of the engines set apart for these, as a short
     one would wait behind it for many times its own length.
     """
-    engines = [
-        engine
-        for engine in around.fleet.candidates(service, Role.PREFILL, now)
-        if engine.name not in excluded
-    ]
+    engines = _allowed(around, service, Role.PREFILL, excluded, now)
     rated = [rate_engine(around, engine, work, now) for engine in engines]
     apart = choose_long_engines(engines)
     fitting = [
@@ -202,12 +198,7 @@
     now: float,
 ) -> Upstream | None:
     """Choose the engine that is to generate; ``near`` is a failure domain."""
-    engines = [
-        engine
-        for engine in around.fleet.candidates(service, Role.DECODE, now)
-        if engine.name not in excluded
-    ]
-
+    engines = _allowed(around, service, Role.DECODE, excluded, now)
     costs = [_decode_cost(around, engine, near, now) for engine in engines]
     return _cheapest(engines, costs)
 
@@ -240,15 +231,24 @@
     now: float,
 ) -> Upstream | None:
     """Choose the process of a plain service with the most free slots."""
-    upstreams = [
+    upstreams = _allowed(around, service, Role.PLAIN, excluded, now)
+    costs = [_plain_cost(around, upstream, now) for upstream in upstreams]
+    return _cheapest(upstreams, costs)
+
+
+def _allowed(
+    around: Surroundings,
+    service: str,
+    role: Role,
+    excluded: frozenset[str],
+    now: float,
+) -> list[Upstream]:
+    return [
         upstream
-        for upstream in around.fleet.candidates(service, Role.PLAIN, now)
+        for upstream in around.fleet.candidates(service, role, now)
         if upstream.name not in excluded
     ]
 
-    costs = [_plain_cost(around, upstream, now) for upstream in upstreams]
-    return _cheapest(upstreams, costs)
-
 
 def _decode_cost(
     around: Surroundings, engine: Upstream, near: str, now: float
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -7,9 +7,10 @@
 
 from cranberryrelay.codes import Failure, Ran, ResultCode, fail
 from cranberryrelay.relay._arrival import UpstreamCall
+from cranberryrelay.relay._attempts import Attempts
 from cranberryrelay.relay._backlog import Sent
 from cranberryrelay.relay._catalogue import RequestKind, Upstream
-from cranberryrelay.relay._context import Admitted, Tools, WholeReply
+from cranberryrelay.relay._context import WholeReply
 from cranberryrelay.relay._placement import choose_plain
 from cranberryrelay.relay._upstream_call import open_answer, read_whole
 
@@ -19,18 +20,9 @@
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
-class PlainRun:
+class PlainRun(Attempts):
     """One call's way to a plain service."""
 
-    def __init__(self, tools: Tools, admitted: Admitted) -> None:
-        self.tools = tools
-        self.admitted = admitted
-        self.excluded: frozenset[str] = frozenset()
-
-    def left(self) -> float:
-        """Return the seconds that are left."""
-        return self.admitted.left(self.tools.timers.now())
-
     async def run(self) -> Result[WholeReply, Failure]:
         """Return the service's whole answer, or why there is none."""
         ended: Result[WholeReply, Failure] = Err(
@@ -105,10 +97,7 @@
         """
         if self.left() <= 0:
             return False
-        if not arrivals:
-            return True
-        now = self.tools.timers.now()
-        return self.tools.state.take_repeat(self.admitted.service, now)
+        return not arrivals or self.take_repeat()
 
     def note_answer(self, upstream: Upstream, reply: WholeReply) -> None:
         """Learn from an answer; an error of its own is a failure."""
--- a/cranberryrelay/relay/_prompt_reading.py
+++ b/cranberryrelay/relay/_prompt_reading.py
@@ -8,6 +8,7 @@
 
 from cranberryrelay.codes import Failure, Ran, ResultCode, fail
 from cranberryrelay.relay._arrival import KvSource, ModelWork, UpstreamCall
+from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import Sent
 from cranberryrelay.relay._catalogue import Rank, Upstream
 from cranberryrelay.relay._context import Admitted, Tools
@@ -62,16 +63,13 @@
     domain: str
 
 
-class PromptReader:
+class PromptReader(EngineAttempts):
     """Reads the prompt of one request."""
 
     def __init__(
         self, tools: Tools, admitted: Admitted, log: RequestLog
     ) -> None:
-        self.tools = tools
-        self.admitted = admitted
-        self.log = log
-        self.excluded: frozenset[str] = frozenset()
+        super().__init__(tools, admitted, log)
         self.arrivals = 0
 
     @property
@@ -148,10 +146,6 @@
             taken_share=decode_taken_share(around, service, now),
         )
 
-    def left(self) -> float:
-        """Return the seconds that are left."""
-        return self.admitted.left(self.tools.timers.now())
-
     def may_send(self) -> bool:
         """Tell if the prompt may be sent; repeats draw on the budget.
 
@@ -159,10 +153,7 @@
         """
         if not self.arrivals:
             return True
-        if self.arrivals >= ARRIVALS_LIMIT:
-            return False
-        now = self.tools.timers.now()
-        return self.tools.state.take_repeat(self.admitted.service, now)
+        return self.arrivals < ARRIVALS_LIMIT and self.take_repeat()
 
     async def read_at(self, chosen: Candidate) -> Result[PromptAtHand, Failure]:
         """Have the prompt read at one engine; learn from how that went."""
@@ -229,14 +220,6 @@
             CachedPart(engine.name, part.digest, part.tokens) for part in parts
         )
 
-    def note_failure(self, engine: Upstream, failure: Failure) -> None:
-        """Avoid an engine that failed."""
-        self.excluded |= {engine.name}
-        self.tools.state.note_failure(
-            engine.name, failure, self.tools.timers.now()
-        )
-        self.log.note_failure(engine, failure)
-
 
 def _as_not_run(failure: Failure) -> Failure:
     if failure.code in _REFUSALS:
