Count the living on changes of the roster and on beats, not on every message

A hub takes some hundred messages a second, and each one counted all peers and sorted the names of the failure domain. A peer that is heard again after a silence is counted at the next beat, 75 ms later at most. What a newcomer is told is chosen where the roster is.

--- a/cranberryrelay/relay/_peers.py
+++ b/cranberryrelay/relay/_peers.py
@@ -81,12 +81,7 @@
         """Make the own instance known at an address, unless it is leaving."""
         if address == self.place.address or self.roster.leaving:
             return
-        now = self.timers.now()
-        known = self.roster.describe_line(now)
-        if not self.roster.grouped:
-            known = {
-                name: peer.place for name, peer in self.roster.peers.items()
-            }
+        known = self.roster.describe_known(self.timers.now())
         hello = Hello(self.place, known, answer)
         self.network.send(name, address, self.name, hello)
 
@@ -112,7 +107,6 @@
         """Take one message."""
         self.roster.note_heard(sender, self.timers.now())
         take_message(message, self, sender)
-        self.count_live()
 
     def take_hello(self, sender: str, hello: Hello) -> None:
         """Learn of a peer and of those that it knows."""
@@ -122,6 +116,7 @@
             self.greet(sender, hello.place.address, answer=False)
         for name in self.note_told(hello.known):
             self.greet(name, hello.known[name].address)
+        self.count_live()
 
     def take_beat(self, sender: str, beat: LoadBeat) -> None:
         """Take over a peer's loads; send it what it lacks."""
@@ -374,3 +369,4 @@
     talk.roster.drop(sender)
     talk.hub.members.pop(sender, None)
     talk.state.backlog.forget_peer(sender)
+    talk.count_live()
--- a/cranberryrelay/relay/_roster.py
+++ b/cranberryrelay/relay/_roster.py
@@ -210,8 +210,13 @@
             for name in self.line(domain, now)
         ]
 
-    def describe_line(self, now: float) -> dict[str, Place]:
-        """Return the first living names of each failure domain."""
+    def describe_known(self, now: float) -> dict[str, Place]:
+        """Return the peers that a newcomer is to know.
+
+        In a large fleet the first living names of each failure domain.
+        """
+        if not self.grouped:
+            return {name: peer.place for name, peer in self.peers.items()}
         domains = (*self.other_domains(), self.domain)
         return {
             name: self.peers[name].place
