Log the prompt segments of each run that an engine breaks off

A stream that was resumed elsewhere left no line, and no line named the prompt, so the logs could not tell whether the relay itself carries a deadly request to the next engine.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -70,6 +70,9 @@
         self.prefill = PrefillRun(context, admitted, self.log)
         self.attempts = 0
         self.backup_engine: Upstream | None = None
+
+        # Name of the engine that generates, or was last asked to.
+        self.engine_name = ''
         self.last_event_number: int | None = admitted.request.last_event_number
 
     async def run(self) -> Result[BufferedReply | StreamReply, Failure]:
@@ -164,6 +167,7 @@
     ) -> Result[UpstreamResponse, Failure]:
         """Send a generation call and record its outcome for the engine."""
         state = self.context.state
+        self.engine_name = engine.name
         self.log.record_decode_engine(engine)
         sent = InFlightCall(0, self.context.timers.now())
         state.fleet.record_attempt(engine.name, sent.sent_at)
@@ -173,7 +177,10 @@
             self.context.client, self.context.dialect, call, self.admitted.stack
         )
         if isinstance(outcome, Err):
-            self.record_failure(engine, outcome.unwrap_err())
+            failure = outcome.unwrap_err()
+            if failure.code is ResultCode.UPSTREAM_FAILED:
+                self.log.log_interrupted(engine.name, failure)
+            self.record_failure(engine, failure)
         else:
             state.record_success(engine.name, self.context.timers.now())
         return outcome
@@ -244,6 +251,7 @@
         Raises ``BrokenStreamError`` if that is not possible.
         """
         await response.close()
+        self.log.log_interrupted(self.engine_name, broken)
         outcome = await self.resume_from_backup(broken)
         if outcome.is_err() and self.may_retry(broken):
             outcome = await self.open_stream()
--- a/cranberryrelay/relay/_request_log.py
+++ b/cranberryrelay/relay/_request_log.py
@@ -89,6 +89,22 @@
             },
         )
 
+    def log_interrupted(self, engine: str, failure: Failure) -> None:
+        """Log a run that its engine broke off, with the prompt it was on."""
+        model_request = self.admitted.request.model_request
+        segments = model_request.shared_segments() if model_request else ()
+        _LOG.info(
+            'run interrupted',
+            extra={
+                'request_id': self.admitted.request.request_id,
+                'upstream': engine,
+                'events': self.event_count,
+                'segments': [segment.digest for segment in segments],
+                'code': failure.code.value,
+                'detail': failure.detail,
+            },
+        )
+
     def write(self, event_text: str, **extra: object) -> None:
         """Log a line with all decisions that were recorded for the request."""
         _LOG.info(
