Hold back prompt segments that crash engines

What callers saw: pairs of decode engines ended one after the other, each time followed by 2 to 3 s without any answer (tainted, four pairs in 22 s).

Cause: an engine's end taught nothing. The relay resumed the run that had ended one engine on the next, and no instance remembered which prompts were on an engine when it ended, so each new request with the segment met a sound one.

Change: segments of runs that an engine broke off before its second event are suspects once the engine is found gone, unless a run with them has got further anywhere. Instances tell each other at once, and tell those that start. A suspect runs once at a time, with another decode engine in reach; after a second crash it is refused (3112) for 900 s. SuspectRegistry, so far used by the entry alone, keeps the records. The broken run itself waits 0.3 s for word on its engine. Why it works: sound segments run all the time and clear themselves, a deadly one never does.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -64,6 +64,8 @@
     SUSPECT_REFUSED = 3108
     RETRY_BUDGET_SPENT = 3109
     LEDGER_UNAVAILABLE = 3110
+    PROMPT_SUSPECT = 3111
+    PROMPT_REFUSED = 3112
 
     UPSTREAM_FAILED = 4101
     UPSTREAM_TIMEOUT = 4102
@@ -101,6 +103,9 @@
 _MAY_HAVE_RUN: Final = ExecutionState.MAY_HAVE_RUN
 _NOT_RUN: Final = ExecutionState.NOT_RUN
 
+# Time for which a prompt segment that crashed engines is refused.
+_REFUSAL_SECONDS: Final = 900
+
 CODE_TABLE: Final[Mapping[ResultCode, CodeEntry]] = MappingProxyType(
     {
         ResultCode.ANSWERED: CodeEntry(
@@ -268,6 +273,18 @@
             _NOT_RUN,
             5,
         ),
+        ResultCode.PROMPT_SUSPECT: CodeEntry(
+            'a segment of the prompt may have crashed an engine',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            3,
+        ),
+        ResultCode.PROMPT_REFUSED: CodeEntry(
+            'a segment of the prompt crashed engines',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            _REFUSAL_SECONDS,
+        ),
         ResultCode.UPSTREAM_FAILED: CodeEntry(
             'the upstream failed', HTTPStatus.BAD_GATEWAY, _MAY_HAVE_RUN
         ),
--- a/cranberryrelay/policy/_suspects.py
+++ b/cranberryrelay/policy/_suspects.py
@@ -3,7 +3,8 @@
 A request that was running on an engine when the engine crashed is a suspect;
 it is identified by its fingerprint.  After one crash the request must run
 alone on an engine; after two it is refused until its record expires.  Crashes
-are reported to the other instances.
+are reported to the other instances.  The relay applies the same to segments of
+prompts, with their digests as fingerprints.
 """
 
 from typing import Final, NamedTuple
@@ -16,8 +17,8 @@
 class SuspectRecord(NamedTuple):
     """The engine crashes during which a request was running."""
 
-    # Number of crashes.
-    crashes: int
+    # Ids of the crashes.
+    crashes: frozenset[str]
 
     # Time at which the record expires, in seconds on the local clock.
     expires_at: float
@@ -29,7 +30,7 @@
     # Digest of the caller, the kind of work and the prompt.
     fingerprint: str
 
-    # Unique id of the crash, so that a repeated report is counted once.
+    # Id of the crash, so that a repeated report is counted once.
     crash: str
 
     # True if no other request was running on the engine.
@@ -44,30 +45,44 @@
 
     def __init__(self) -> None:
         self.records: dict[str, SuspectRecord] = {}
-        self.expiry_by_crash: dict[str, float] = {}
+        self.expiry_by_crash: dict[tuple[str, str], float] = {}
         self.engines_running_suspects: set[str] = set()
 
-    def record(self, crash: SuspectCrash, now: float) -> None:
-        """Count a crash against its request, unless it was counted before."""
+    def record(self, crash: SuspectCrash, now: float) -> bool:
+        """Count a crash against its request; return whether it was new."""
         self._expire(now)
-        if crash.crash in self.expiry_by_crash:
-            return
+        counted = (crash.fingerprint, crash.crash)
+        if counted in self.expiry_by_crash:
+            return False
         expires_at = now + SUSPECT_TTL_SECONDS
-        self.expiry_by_crash[crash.crash] = expires_at
-        previous = self.records.get(crash.fingerprint)
-        crashes = previous.crashes + 1 if previous else 1
-        record = SuspectRecord(crashes, expires_at)
+        self.expiry_by_crash[counted] = expires_at
+        previous = self._find_valid(crash.fingerprint, now)
+        record = SuspectRecord(frozenset((crash.crash,)), expires_at)
+        if previous is not None:
+            record = SuspectRecord(
+                record.crashes | previous.crashes,
+                max(expires_at, previous.expires_at),
+            )
         self.records[crash.fingerprint] = record
+        return True
 
     def must_refuse(self, fingerprint: str, now: float) -> bool:
         """Return whether a request has reached the limit of crashes."""
         record = self._find_valid(fingerprint, now)
-        return record is not None and record.crashes >= CRASHES_TO_REFUSE
+        return record is not None and len(record.crashes) >= CRASHES_TO_REFUSE
 
     def must_isolate(self, fingerprint: str, now: float) -> bool:
         """Return whether a request is a suspect and must run alone."""
         return self._find_valid(fingerprint, now) is not None
 
+    def valid_records(self, now: float) -> dict[str, SuspectRecord]:
+        """Return the records that have not expired, by fingerprint."""
+        return {
+            fingerprint: record
+            for fingerprint, record in self.records.items()
+            if record.expires_at > now
+        }
+
     def clear(self, fingerprint: str) -> None:
         """Remove the record of a request that was answered completely."""
         self.records.pop(fingerprint, None)
@@ -84,8 +99,4 @@
             if expires_at > now
         }
         if at_limit:
-            self.records = {
-                fingerprint: record
-                for fingerprint, record in self.records.items()
-                if record.expires_at > now
-            }
+            self.records = self.valid_records(now)
--- a/cranberryrelay/relay/_catalogue.py
+++ b/cranberryrelay/relay/_catalogue.py
@@ -196,6 +196,10 @@
     # Kind of work that it currently serves.
     role: Role
 
+    def incarnation_id(self) -> str:
+        """Return an id that changes even if a restart keeps the name."""
+        return f'{self.name}/{self.started_at_ms}'
+
 
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -122,17 +122,21 @@
 
         Upstreams in backoff are excluded unless all of them are in backoff.
         """
-        eligible = [
+        eligible = self.eligible(service, role, now)
+        available = [
+            one for one in eligible if not self.is_in_backoff(one.name, now)
+        ]
+        return available or eligible
+
+    def eligible(self, service: str, role: Role, now: float) -> list[Upstream]:
+        """Return the upstreams that serve a role, reachable or not."""
+        return [
             upstream
             for upstream in self.upstreams.values()
             if upstream.service == service
             and not upstream.leaving
             and self.accepts_role(upstream, role, now)
         ]
-        available = [
-            one for one in eligible if not self.is_in_backoff(one.name, now)
-        ]
-        return available or eligible
 
     def is_in_backoff(self, name: str, now: float) -> bool:
         """Return whether an upstream is in backoff."""
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -1,8 +1,9 @@
 """HTTP interfaces for callers and for the readiness check of the balancer."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any, Final
 
 from quart import Response, request
@@ -10,7 +11,12 @@
 from result import Err
 from werkzeug.datastructures import Headers
 
-from cranberryrelay.codes import CODE_TABLE, ExecutionState, Failure
+from cranberryrelay.codes import (
+    CODE_TABLE,
+    ExecutionState,
+    Failure,
+    ResultCode,
+)
 from cranberryrelay.relay._context import (
     BufferedReply,
     RelayContext,
@@ -28,6 +34,14 @@
 
 # Value of the Retry-After header on refused requests.
 RETRY_AFTER_SECONDS: Final = 0.3
+
+# The same for codes whose cause lasts longer.
+_RETRY_AFTER_BY_CODE: Final[Mapping[ResultCode, float]] = MappingProxyType(
+    {
+        code: CODE_TABLE[code].retry_after_seconds
+        for code in (ResultCode.PROMPT_SUSPECT, ResultCode.PROMPT_REFUSED)
+    }
+)
 _STACK: Final = 'cranberryrelay.stack'
 
 
@@ -69,7 +83,9 @@
             content_type='text/plain',
         )
         if status in _RETRYABLE_STATUSES:
-            response.headers['Retry-After'] = str(RETRY_AFTER_SECONDS)
+            response.headers['Retry-After'] = str(
+                _RETRY_AFTER_BY_CODE.get(failure.code, RETRY_AFTER_SECONDS)
+            )
         return self.close_if_draining(response)
 
     def close_if_draining(self, response: Response) -> Response:
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -11,6 +11,7 @@
 from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import InFlightCall
 from cranberryrelay.relay._catalogue import Upstream
+from cranberryrelay.relay._clearance import ClearanceGate
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BrokenStreamError,
@@ -18,6 +19,7 @@
     RelayContext,
     StreamReply,
 )
+from cranberryrelay.relay._crash_suspects import PROOF_EVENTS
 from cranberryrelay.relay._events import Event, EventSplitter
 from cranberryrelay.relay._placement import choose_decode_engine
 from cranberryrelay.relay._prefill import (
@@ -69,10 +71,13 @@
         super().__init__(context, admitted, RequestLog(admitted))
         self.prefill = PrefillRun(context, admitted, self.log)
         self.attempts = 0
+        self.gate = ClearanceGate(context, admitted)
         self.backup_engine: Upstream | None = None
 
-        # Name of the engine that generates, or was last asked to.
-        self.engine_name = ''
+        # The engine that generates, or was last asked to, and the number of
+        # events that it has sent.
+        self.engine: Upstream | None = None
+        self.engine_event_count = 0
         self.last_event_number: int | None = admitted.request.last_event_number
 
     async def run(self) -> Result[BufferedReply | StreamReply, Failure]:
@@ -97,9 +102,15 @@
             'no time left to send the request to an engine',
         )
         while self.remaining_seconds() > 0:
+            cleared = await self.wait_for_clearance()
+            if isinstance(cleared, Err):
+                return cleared
             prompt = await self.prefill.run()
             if isinstance(prompt, Err):
                 return prompt
+            cleared = await self.wait_for_clearance()
+            if isinstance(cleared, Err):
+                return cleared
             outcome = await self.generate(prompt.unwrap())
             if isinstance(outcome, Ok):
                 return outcome
@@ -108,6 +119,17 @@
                 break
         return Err(failure)
 
+    async def wait_for_clearance(self) -> Result[None, Failure]:
+        """Wait until the prompt may be sent to an engine.
+
+        A failure says whether an earlier attempt may have run.
+        """
+        cleared = await self.gate.wait()
+        if isinstance(cleared, Err) and self.attempts:
+            ran = ExecutionState.MAY_HAVE_RUN
+            return Err(cleared.unwrap_err()._replace(ran=ran))
+        return cleared
+
     async def generate(
         self, prompt: PrefilledPrompt
     ) -> Result[UpstreamResponse, Failure]:
@@ -167,7 +189,8 @@
     ) -> Result[UpstreamResponse, Failure]:
         """Send a generation call and record its outcome for the engine."""
         state = self.context.state
-        self.engine_name = engine.name
+        self.engine = engine
+        self.engine_event_count = 0
         self.log.record_decode_engine(engine)
         sent = InFlightCall(0, self.context.timers.now())
         state.fleet.record_attempt(engine.name, sent.sent_at)
@@ -179,12 +202,20 @@
         if isinstance(outcome, Err):
             failure = outcome.unwrap_err()
             if failure.code is ResultCode.UPSTREAM_FAILED:
-                self.log.log_interrupted(engine.name, failure)
+                self.record_interrupted(failure)
             self.record_failure(engine, failure)
         else:
             state.record_success(engine.name, self.context.timers.now())
         return outcome
 
+    def record_interrupted(self, failure: Failure) -> None:
+        """Record a run that its engine broke off."""
+        if self.engine is None:
+            return
+        self.log.log_interrupted(self.engine.name, failure)
+        if self.engine_event_count < PROOF_EVENTS:
+            self.gate.record_interrupted(self.engine)
+
     def choose_backup(self, engine: Upstream) -> Upstream | None:
         """Choose an engine for the backup if the request may not run twice."""
         route = self.admitted.route
@@ -239,6 +270,7 @@
                     break
                 yield item.content
             else:
+                self.gate.record_proven()
                 self.log.log_answered(self.context.timers.now())
                 return
             response = await self.resume(response, broken)
@@ -251,7 +283,8 @@
         Raises ``BrokenStreamError`` if that is not possible.
         """
         await response.close()
-        self.log.log_interrupted(self.engine_name, broken)
+        if broken.code is ResultCode.STREAM_BROKEN:
+            self.record_interrupted(broken)
         outcome = await self.resume_from_backup(broken)
         if outcome.is_err() and self.may_retry(broken):
             outcome = await self.open_stream()
@@ -314,6 +347,9 @@
     def record_event(self, event: Event) -> None:
         """Record the time and number of an event that was received."""
         first_seconds = self.log.record_event(self.context.timers.now())
+        self.engine_event_count += 1
+        if self.engine_event_count == PROOF_EVENTS:
+            self.gate.record_proven()
         if first_seconds is not None:
             rank = self.admitted.route.rank
             self.context.state.telemetry.observe_first_event(
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -4,6 +4,7 @@
 
 from cranberryrelay.relay._backlog import EngineLoad
 from cranberryrelay.relay._catalogue import Role
+from cranberryrelay.relay._crash_suspects import SuspectNews
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_update import PeerUpdate
 
@@ -111,4 +112,5 @@
     UpstreamShare,
     EngineChanging,
     Farewell,
+    SuspectNews,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -7,6 +7,7 @@
 
 from cranberryrelay.relay._anti_entropy import REPAIR_DELAY_SECONDS, AntiEntropy
 from cranberryrelay.relay._catalogue import Role
+from cranberryrelay.relay._crash_suspects import SuspectNews
 from cranberryrelay.relay._group_hub import (
     HUB_IDLE_HEARTBEAT_SECONDS,
     GroupHub,
@@ -25,6 +26,7 @@
 from cranberryrelay.relay._peer_update import make_peer_update
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._suspect_exchange import SuspectExchange
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
 
@@ -79,6 +81,7 @@
         self.anti_entropy = AntiEntropy(
             store_replica, self.membership, self.send
         )
+        self.suspect_exchange = SuspectExchange(self)
 
     def send_hello(self, name: str, address: str, answer: bool = True) -> None:
         """Introduce this instance at an address, unless it is leaving."""
@@ -118,6 +121,7 @@
         self.membership.record_message(sender, self.timers.now())
         if hello.answer:
             self.send_hello(sender, hello.location.address, answer=False)
+            self.suspect_exchange.send_summary(sender)
         for name in self.add_peers(hello.known):
             self.send_hello(name, hello.known[name].address)
         self.update_live_instances()
@@ -171,9 +175,11 @@
                 self.state.backlog.remove_peer(name)
                 _LOG.info('peer removed', extra={'peer': name})
             self.group_hub.remove_expired(now)
+            self.state.crash_suspects.drop_unconfirmed(now)
             self.update_live_instances()
             if self.membership.leaving:
                 return
+            self.suspect_exchange.send_news()
             if self.is_heartbeat_due(now):
                 self.send_heartbeat(now)
             if self.membership.uses_hubs:
@@ -198,6 +204,7 @@
         """Send a heartbeat whenever the data path requests one."""
         async for _ in self.state.heartbeat_requests:
             if not self.membership.leaving:
+                self.suspect_exchange.send_news()
                 self.send_heartbeat(self.timers.now())
 
     def is_heartbeat_due(self, now: float) -> bool:
@@ -398,6 +405,11 @@
     protocol.handle_engine_changing(sender, message)
 
 
+@dispatch_message.register
+def _(message: SuspectNews, protocol: PeerProtocol, sender: str) -> None:
+    protocol.suspect_exchange.handle_news(sender, message)
+
+
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
     protocol.membership.remove(sender)
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 from contextlib import suppress
 from typing import Final, NamedTuple
 
@@ -19,6 +20,7 @@
     RoutingTable,
     Upstream,
 )
+from cranberryrelay.relay._crash_suspects import CrashSuspects
 from cranberryrelay.relay._fleet import Fleet
 from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._placement import PlacementContext
@@ -73,6 +75,7 @@
         self.account_buffer = AccountBuffer()
         self.telemetry = RelayTelemetry()
         self.admission_queue = AdmissionQueue()
+        self.crash_suspects = CrashSuspects()
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -174,6 +177,7 @@
             return
         if known and known.started_at_ms != upstream.started_at_ms:
             self.prefix_index.remove_engine(upstream.name)
+            self.record_gone(known)
         self.fleet.put(upstream)
         _LOG.info(
             'upstream changed',
@@ -188,8 +192,11 @@
 
     def remove_upstream(self, name: str, source: str) -> None:
         """Remove an upstream that has left."""
-        if name not in self.fleet.upstreams:
+        known = self.fleet.upstreams.get(name)
+        if known is None:
             return
+        if not known.leaving:
+            self.record_gone(known)
         self.fleet.remove(name)
         self.prefix_index.remove_engine(name)
         _LOG.info('upstream gone', extra={'upstream': name, 'source': source})
@@ -214,6 +221,7 @@
         for segment in update.cached_parts:
             self.record_cached_segment(segment)
         for name in update.unreachable:
+            self.record_gone(self.fleet.upstreams.get(name))
             if not self.fleet.is_in_backoff(name, now):
                 self.fleet.record_unreachable(name, now, reported_by_peer=True)
         for name in update.failed:
@@ -228,6 +236,7 @@
         """
         self.telemetry.count_failure(failure.code)
         if failure.code is ResultCode.UPSTREAM_UNREACHABLE:
+            self.record_gone(self.fleet.upstreams.get(name))
             if not self.fleet.is_in_backoff(name, now):
                 self.peer_update.unreachable.append(name)
             self.fleet.record_unreachable(name, now)
@@ -240,8 +249,31 @@
                 name, now, counts_toward_backoff=not refused
             )
 
+    def record_interrupted(
+        self, engine: Upstream, digests: Iterable[str], now: float
+    ) -> None:
+        """Record a run of these prompt segments that an engine broke off."""
+        self.crash_suspects.record_interrupted(
+            engine.incarnation_id(), digests, now
+        )
+        self.announce_suspects()
+
+    def record_gone(self, upstream: Upstream | None) -> None:
+        """Record that an upstream cannot be reached or has ended."""
+        if upstream is not None:
+            self.crash_suspects.record_gone(upstream.incarnation_id())
+            self.announce_suspects()
+
+    def announce_suspects(self) -> None:
+        """Tell the other instances at once what is new about suspects."""
+        if self.crash_suspects.has_news():
+            self.request_heartbeat()
+
     def record_success(self, name: str, now: float) -> None:
         """Record an answer; add a recovery to the peer update."""
+        known = self.fleet.upstreams.get(name)
+        if known is not None:
+            self.crash_suspects.record_answer(known.incarnation_id())
         if self.fleet.has_failed(name):
             self.peer_update.recovered.append(name)
         self.fleet.record_success(name, now)
