Close an answer of an upstream that exceeds a limit

What callers would see: an upstream whose bytes never end is read into memory until the deadline of the request (up to 10 s); the instance may be killed.

Cause: neither the body of an answer nor an event of a stream had a limit.

Evidence: three rows of the new test failed before (4102 after 5 s instead of an error at once, an event without limit). Its other rows pass on the code as it was: an answer without a length is whole when its connection ends, one cut short is broken, a head without end is an error of the HTTP library.

Change: bodies of over 4 MB and events of over 1 MB end the answer with 4110, and the connection is closed at once.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -76,6 +76,7 @@
     STREAM_BROKEN = 4107
     UPSTREAM_ENTRY_FAULTY = 4108
     UPSTREAM_REPLACED = 4109
+    ANSWER_TOO_LARGE = 4110
 
     ORDER_FENCED = 5101
     LEASE_LOST = 5102
@@ -330,6 +331,11 @@
             _NOT_RUN,
             1,
         ),
+        ResultCode.ANSWER_TOO_LARGE: CodeEntry(
+            'the answer of the upstream is over the limit',
+            HTTPStatus.BAD_GATEWAY,
+            _MAY_HAVE_RUN,
+        ),
         ResultCode.ORDER_FENCED: CodeEntry(
             'the order carries an old fencing token', HTTPStatus.CONFLICT
         ),
--- a/cranberryrelay/relay/_events.py
+++ b/cranberryrelay/relay/_events.py
@@ -2,6 +2,8 @@
 
 from typing import Final, NamedTuple
 
+# Largest event of a stream, in bytes; a few tokens take far less.
+EVENT_BYTES_LIMIT: Final = 1_000_000
 _END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
 
@@ -22,6 +24,11 @@
     def __init__(self) -> None:
         self.incomplete = b''
 
+    @property
+    def too_large(self) -> bool:
+        """Return whether the incomplete event exceeds the limit."""
+        return len(self.incomplete) > EVENT_BYTES_LIMIT
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Add a chunk and return the events that it completes."""
         parts = (self.incomplete + chunk).split(_END)
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -20,7 +20,7 @@
     StreamReply,
 )
 from cranberryrelay.relay._crash_suspects import PROOF_EVENTS
-from cranberryrelay.relay._events import Event, EventSplitter
+from cranberryrelay.relay._events import EVENT_BYTES_LIMIT, Event, EventSplitter
 from cranberryrelay.relay._placement import choose_decode_engine
 from cranberryrelay.relay._prefill import (
     ENGINE_PRIORITIES,
@@ -338,6 +338,12 @@
             for event in splitter.feed(chunk):
                 self.record_event(event)
                 yield event
+            if splitter.too_large:
+                yield fail(
+                    ResultCode.ANSWER_TOO_LARGE,
+                    f'an event exceeds {EVENT_BYTES_LIMIT} bytes',
+                )
+                return
         if splitter.incomplete:
             yield fail(
                 ResultCode.STREAM_BROKEN,
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -24,6 +24,9 @@
 # Idle connections are closed after this time, before the upstreams do so.
 IDLE_CONNECTION_SECONDS: Final = 4.0
 
+# Largest body of a response that is read whole, in bytes.
+BODY_BYTES_LIMIT: Final = 4_000_000
+
 # Errors after which nothing has been sent to the upstream.
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -150,16 +153,24 @@
 async def read_body(
     response: UpstreamResponse, limit_seconds: float
 ) -> Result[bytes, Failure]:
-    """Read the whole body.
+    """Read the whole body; closes the connection if it is too large.
 
-    Errors: ``STREAM_BROKEN``, ``UPSTREAM_TIMEOUT``.
+    Errors: ``STREAM_BROKEN``, ``UPSTREAM_TIMEOUT``, ``ANSWER_TOO_LARGE``.
     """
     with limit_time(limit_seconds):
+        body = bytearray()
         try:
-            chunks = [chunk async for chunk in response.chunks()]
+            async for chunk in response.chunks():
+                body += chunk
+                if len(body) > BODY_BYTES_LIMIT:
+                    break
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.STREAM_BROKEN, repr(error)))
-        return Ok(b''.join(chunks))
+        if len(body) <= BODY_BYTES_LIMIT:
+            return Ok(bytes(body))
+        await response.close()
+        detail = f'the body exceeds {BODY_BYTES_LIMIT} bytes'
+        return Err(fail(ResultCode.ANSWER_TOO_LARGE, detail))
     return Err(
         fail(
             ResultCode.UPSTREAM_TIMEOUT,
