--- a/cranberryrelay/platform/_dialect.py
+++ b/cranberryrelay/platform/_dialect.py
@@ -1,5 +1,6 @@
 """Translates the headers of requests and answers on the target platform."""
 
+import re
 from typing import Final
 
 import msgspec
@@ -28,6 +29,7 @@
 _STAGE: Final = b'X-Cranberryrelay-Stage'
 _KV_SOURCE: Final = b'X-Cranberryrelay-Kv-Source'
 _KV_BACKUP: Final = b'X-Cranberryrelay-Kv-Backup'
+_SERVER_LIMIT: Final = b'Server-Limit'
 _NOT_EXECUTED: Final = b'X-Cranberryrelay-Not-Executed'
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
@@ -63,6 +65,7 @@
         b'x-cranberryrelay-kv-fetch',
     )
 )
+_DECIMAL_NUMBER: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 _MISDIRECTED: Final = 421
 _MS_PER_SECOND: Final = 1000
 
@@ -126,6 +129,7 @@
             headers=[
                 pair for pair in headers if pair[0].lower() not in dropped
             ],
+            requests_per_second=_parse_rate(headers),
         )
 
     def decode_prefill(self, body: bytes) -> Result[PrefillResult, Failure]:
@@ -169,6 +173,14 @@
     return int(text) if text.isdecimal() else None
 
 
+def _parse_rate(headers: RawHeaders) -> float | None:
+    """Return the rate that an upstream names; None if it can't be read."""
+    text = _find_header(headers, _SERVER_LIMIT)
+    if not _DECIMAL_NUMBER.fullmatch(text):
+        return None
+    return float(text)
+
+
 def _connection_options(headers: RawHeaders) -> frozenset[bytes]:
     """Return the header names that the Connection header lists."""
     options = _find_header(headers, b'connection').encode('latin-1').lower()
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -1,9 +1,15 @@
 """State shared by the attempts of one request: time left, budget, failures."""
 
+from functools import partial
+
+from result import Result
+
 from cranberryrelay.codes import Failure
 from cranberryrelay.relay._catalogue import Upstream
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
 from cranberryrelay.relay._request_log import RequestLog
+from cranberryrelay.relay._requests import ResponseMetadata, UpstreamCall
+from cranberryrelay.relay._upstream_call import UpstreamResponse, open_response
 
 
 class Attempts:
@@ -22,6 +28,30 @@
         """Return the time left until the deadline of the request."""
         return self.admitted.remaining_seconds(self.context.timers.now())
 
+    async def open_response(
+        self, call: UpstreamCall
+    ) -> Result[UpstreamResponse, Failure]:
+        """Send a call; records the rate limit that the response names."""
+        sent_at = self.context.timers.now()
+        return await open_response(
+            self.context.client,
+            self.context.dialect,
+            call,
+            self.admitted.stack,
+            partial(self.record_limit, call.upstream, sent_at),
+        )
+
+    def record_limit(
+        self, upstream: str, sent_at: float, metadata: ResponseMetadata
+    ) -> None:
+        """Record the rate limit that a response names, or that it has none."""
+        self.context.state.rate_limits.record_answer(
+            upstream,
+            metadata.requests_per_second,
+            sent_at,
+            self.context.timers.now(),
+        )
+
     def take_retry(self) -> bool:
         """Take a retry from the retry budget; return False if it is spent."""
         now = self.context.timers.now()
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -31,7 +31,6 @@
 from cranberryrelay.relay._requests import KvSource, UpstreamCall
 from cranberryrelay.relay._upstream_call import (
     UpstreamResponse,
-    open_response,
     read_body,
 )
 from cranberryrelay.timing import limit_time
@@ -196,9 +195,7 @@
         state.fleet.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         self.admitted.stack.callback(state.backlog.remove, engine.name, sent)
-        outcome = await open_response(
-            self.context.client, self.context.dialect, call, self.admitted.stack
-        )
+        outcome = await self.open_response(call)
         if isinstance(outcome, Err):
             failure = outcome.unwrap_err()
             if failure.code is ResultCode.UPSTREAM_FAILED:
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -12,7 +12,7 @@
 from cranberryrelay.relay._context import BufferedReply
 from cranberryrelay.relay._placement import choose_plain_upstream
 from cranberryrelay.relay._requests import UpstreamCall
-from cranberryrelay.relay._upstream_call import open_response, read_body
+from cranberryrelay.relay._upstream_call import read_body
 
 # A timeout counts as a failure of the process only if the request has waited
 # longer than this, as the timeout of a route may be shorter.
@@ -77,9 +77,7 @@
             address=upstream.address,
             timeout_seconds=self.remaining_seconds(),
         )
-        opened = await open_response(
-            self.context.client, self.context.dialect, call, self.admitted.stack
-        )
+        opened = await self.open_response(call)
         if isinstance(opened, Err):
             return opened
         response = opened.unwrap()
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -30,7 +30,7 @@
 from cranberryrelay.relay._prefix_index import CachedSegment
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import KvSource, ModelRequest, UpstreamCall
-from cranberryrelay.relay._upstream_call import open_response, read_body
+from cranberryrelay.relay._upstream_call import read_body
 
 # Scheduling priorities that are sent to engines, 0 (first) to 9, by rank.
 ENGINE_PRIORITIES: Final = MappingProxyType(
@@ -213,9 +213,7 @@
             engine_priority=ENGINE_PRIORITIES[self.admitted.route.rank],
             prefill_only=True,
         )
-        outcome = await open_response(
-            self.context.client, self.context.dialect, call, self.admitted.stack
-        )
+        outcome = await self.open_response(call)
         if isinstance(outcome, Err):
             return outcome
         response = outcome.unwrap()
--- a/cranberryrelay/relay/_requests.py
+++ b/cranberryrelay/relay/_requests.py
@@ -139,6 +139,10 @@
     # Headers to forward to the caller.
     headers: RawHeaders
 
+    # Requests a second that the upstream accepts from all instances together;
+    # None if it names no limit.
+    requests_per_second: float | None = None
+
 
 class PrefillResult(NamedTuple):
     """The KV cache that a prefill left at an engine."""
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -25,6 +25,7 @@
 from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._placement import PlacementContext
 from cranberryrelay.relay._prefix_index import CachedSegment, PrefixIndex
+from cranberryrelay.relay._rate_limits import RateLimits
 from cranberryrelay.relay._requests import PromptSegment
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._settings import InstanceSettings
@@ -76,6 +77,7 @@
         self.telemetry = RelayTelemetry()
         self.admission_queue = AdmissionQueue()
         self.crash_suspects = CrashSuspects()
+        self.rate_limits = RateLimits()
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -198,6 +200,7 @@
         if not known.leaving:
             self.record_gone(known)
         self.fleet.remove(name)
+        self.rate_limits.remove(name)
         self.prefix_index.remove_engine(name)
         _LOG.info('upstream gone', extra={'upstream': name, 'source': source})
 
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -1,6 +1,6 @@
 """HTTP client for calls to upstreams."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
 from typing import Final, NamedTuple
 
@@ -35,6 +35,9 @@
 )
 
 
+MetadataObserver = Callable[[ResponseMetadata], None]
+
+
 class UpstreamResponse(NamedTuple):
     """A response whose headers have arrived and whose body is open."""
 
@@ -80,10 +83,12 @@
     dialect: Dialect,
     call: UpstreamCall,
     stack: AsyncExitStack,
+    observe: MetadataObserver | None = None,
 ) -> Result[UpstreamResponse, Failure]:
     """Send a call and wait for the headers of its response.
 
-    The stack closes the response.  Errors: ``UPSTREAM_UNREACHABLE`` if
+    The stack closes the response.  ``observe`` is told of the metadata of any
+    response, also of one that is an error.  Errors: ``UPSTREAM_UNREACHABLE`` if
     nothing was sent, ``UPSTREAM_REFUSED`` if the upstream states that it did
     not run the request, ``UPSTREAM_REPLACED`` if a different incarnation now
     uses its address, ``UPSTREAM_TIMEOUT``, ``UPSTREAM_FAILED``,
@@ -91,6 +96,8 @@
     """
     with limit_time(call.timeout_seconds) as scope:
         sent = await _send(client, dialect, call, stack)
+        if observe is not None and sent.is_ok():
+            observe(sent.unwrap().metadata)
     if scope.cancelled_caught:
         detail = (
             f'{call.upstream}: no response within {call.timeout_seconds:.3f} s'
