Keep the request rates that upstreams name, as a sum over all instances

Cause: nothing read the header, so the rates stayed what the choice of engines made of them.

Change: the limit of an answer is told to all instances at once, as news of crashing segments is, and to those that start. Each sends its part: one request at each of its slots, at even intervals, with positions that differ between instances. A slot that isn't used within 1 s is lost; parts that were saved up and spent together would exceed the rate, the more the more instances there are. An answer without the header, to a request sent after the last that named it, ends the limit. Requests that find all upstreams at their limits wait, up to 55 in 100 of their time, and are then refused.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -1,16 +1,24 @@
 """State shared by the attempts of one request: time left, budget, failures."""
 
+from collections.abc import Callable
 from functools import partial
+from typing import TypeVar
 
 from result import Result
 
 from cranberryrelay.codes import Failure
-from cranberryrelay.relay._catalogue import Upstream
+from cranberryrelay.relay._admission_queue import (
+    QUEUED_TIME_SHARE,
+    RECHECK_SECONDS,
+)
+from cranberryrelay.relay._catalogue import Role, Upstream
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import ResponseMetadata, UpstreamCall
 from cranberryrelay.relay._upstream_call import UpstreamResponse, open_response
 
+Chosen = TypeVar('Chosen')
+
 
 class Attempts:
     """Attempts of one request, at one upstream after another."""
@@ -45,12 +53,43 @@
         self, upstream: str, sent_at: float, metadata: ResponseMetadata
     ) -> None:
         """Record the rate limit that a response names, or that it has none."""
-        self.context.state.rate_limits.record_answer(
+        state = self.context.state
+        state.rate_limits.record_answer(
             upstream,
             metadata.requests_per_second,
             sent_at,
             self.context.timers.now(),
         )
+        state.announce_news()
+
+    async def choose_within_limits(
+        self, choose: Callable[[], Chosen | None], role: Role
+    ) -> Chosen | None:
+        """Choose an upstream; waits while limits forbid all that are left."""
+        wait_until = (
+            self.context.timers.now()
+            + self.remaining_seconds() * QUEUED_TIME_SHARE
+        )
+        while True:
+            chosen = choose()
+            now = self.context.timers.now()
+            if chosen is not None or now >= wait_until:
+                return chosen
+            if not self.is_limited(role):
+                return None
+            await self.context.timers.pause(RECHECK_SECONDS)
+
+    def is_limited(self, role: Role) -> bool:
+        """Return whether a limit keeps this request from some upstream."""
+        now = self.context.timers.now()
+        state = self.context.state
+        return any(
+            not state.may_send(upstream.name, now)
+            for upstream in state.fleet.candidates(
+                self.admitted.service, role, now
+            )
+            if upstream.name not in self.excluded
+        )
 
     def take_retry(self) -> bool:
         """Take a retry from the retry budget; return False if it is spent."""
--- a/cranberryrelay/relay/_clearance.py
+++ b/cranberryrelay/relay/_clearance.py
@@ -78,12 +78,15 @@
         if self.suspects.unproven_among(self.digests, now):
             self.interrupted_by = engine.incarnation_id()
             self.unconfirmed_until = now + CONFIRMATION_SECONDS
-            self.context.state.record_interrupted(engine, self.digests, now)
+            self.suspects.record_interrupted(
+                self.interrupted_by, self.digests, now
+            )
+            self.context.state.announce_news()
 
     def record_proven(self) -> None:
         """Record that an engine has survived the start of the answer."""
         self.suspects.prove(self.digests, self.context.timers.now())
-        self.context.state.announce_suspects()
+        self.context.state.announce_news()
 
     def find_obstacle(self, now: float) -> Failure | None:
         """Return why the request may not be sent now; starts its trial."""
@@ -120,7 +123,7 @@
         self.own_trial = suspects
         self.own_trial_until = now + TRIAL_SECONDS
         self.suspects.begin_trial(suspects, now)
-        self.context.state.announce_suspects()
+        self.context.state.announce_news()
         return True
 
     def may_begin_trial(self, suspects: frozenset[str], now: float) -> bool:
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -1,6 +1,7 @@
 """Runs model requests: prefill, generation, and relaying of the events."""
 
 from collections.abc import AsyncIterator
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -10,7 +11,7 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import InFlightCall
-from cranberryrelay.relay._catalogue import Upstream
+from cranberryrelay.relay._catalogue import Role, Upstream
 from cranberryrelay.relay._clearance import ClearanceGate
 from cranberryrelay.relay._context import (
     AdmittedRequest,
@@ -21,7 +22,10 @@
 )
 from cranberryrelay.relay._crash_suspects import PROOF_EVENTS
 from cranberryrelay.relay._events import EVENT_BYTES_LIMIT, Event, EventSplitter
-from cranberryrelay.relay._placement import choose_decode_engine
+from cranberryrelay.relay._placement import (
+    always_may_send,
+    choose_decode_engine,
+)
 from cranberryrelay.relay._prefill import (
     ENGINE_PRIORITIES,
     PrefilledPrompt,
@@ -136,7 +140,9 @@
         failure = fail(ResultCode.NO_ENGINE, 'no decode engine is available')
         refusals = 0
         while True:
-            engine = self.choose_engine(prompt.domain)
+            engine = await self.choose_within_limits(
+                partial(self.choose_engine, prompt.domain), Role.DECODE
+            )
             if engine is None:
                 return Err(failure)
             outcome = await self.start_generation(engine, prompt)
@@ -192,7 +198,7 @@
         self.engine_event_count = 0
         self.log.record_decode_engine(engine)
         sent = InFlightCall(0, self.context.timers.now())
-        state.fleet.record_attempt(engine.name, sent.sent_at)
+        state.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         self.admitted.stack.callback(state.backlog.remove, engine.name, sent)
         outcome = await self.open_response(call)
@@ -220,11 +226,14 @@
             return None
         if self.prefill.model_request.prompt_tokens > BACKUP_TOKENS_LIMIT:
             return None
-        excluded = self.excluded
-        self.excluded |= {engine.name}
-        backup = self.choose_engine(engine.domain)
-        self.excluded = excluded
-        return backup
+        surroundings = self.context.state.placement_context()
+        return choose_decode_engine(
+            surroundings._replace(may_send=always_may_send),
+            self.admitted.service,
+            engine.domain,
+            self.excluded | {engine.name},
+            self.context.timers.now(),
+        )
 
     def make_call(self, engine: Upstream) -> UpstreamCall:
         """Make a call whose timeout is the time left for the request."""
--- /dev/null
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -0,0 +1,91 @@
+"""Exchanges at once what the instances learn about the upstreams.
+
+Unlike what heartbeats carry, this must not wait for the next one: segments that
+crash engines, and rates that upstreams name.
+"""
+
+from typing import Any, Protocol
+
+from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._group_hub import GroupHub
+from cranberryrelay.relay._membership import Membership
+from cranberryrelay.relay._rate_limits import LimitNews
+from cranberryrelay.relay._state import RelayState
+from cranberryrelay.timing import TimerService
+
+
+class PeerSender(Protocol):
+    """What the exchange needs of the peer protocol."""
+
+    state: RelayState
+    membership: Membership
+    timers: TimerService
+    group_hub: GroupHub
+
+    def direct_recipients(self) -> list[str]:
+        """Return the peers that are sent urgent messages directly."""
+
+    def send(self, name: str, message: Any) -> None:
+        """Send a message to a peer, if it is known."""
+
+
+class NewsExchange:
+    """Sends, applies and forwards news.
+
+    Each instance forwards only what was new to it, so that news does not
+    circulate.
+    """
+
+    def __init__(self, peers: PeerSender) -> None:
+        self.peers = peers
+
+    def send_news(self) -> None:
+        """Tell the other instances what is new here."""
+        state = self.peers.state
+        now = self.peers.timers.now()
+        self.send_to(
+            self.peers.direct_recipients(),
+            state.crash_suspects.take_news(now),
+            state.rate_limits.take_news(),
+        )
+
+    def send_summary(self, name: str) -> None:
+        """Tell an instance that has just started all that is known."""
+        state = self.peers.state
+        now = self.peers.timers.now()
+        self.send_to(
+            [name],
+            state.crash_suspects.summarize(now),
+            state.rate_limits.summarize(),
+        )
+
+    def handle_suspect_news(self, sender: str, news: SuspectNews) -> None:
+        """Apply and forward a peer's news on suspect segments."""
+        now = self.peers.timers.now()
+        suspects = self.peers.state.crash_suspects
+        self.forward(sender, suspects.apply_news(news, now))
+
+    def handle_limit_news(self, sender: str, news: LimitNews) -> None:
+        """Apply and forward a peer's news on limits of upstreams."""
+        now = self.peers.timers.now()
+        limits = self.peers.state.rate_limits
+        self.forward(sender, limits.apply_news(news, now))
+
+    def forward(self, sender: str, news: SuspectNews | LimitNews) -> None:
+        """Send news to those that the sender has not told, with hubs."""
+        membership = self.peers.membership
+        if not membership.uses_hubs:
+            return
+        recipients = list(self.peers.group_hub.members)
+        if membership.in_own_domain(sender):
+            recipients = self.peers.direct_recipients()
+        self.send_to([name for name in recipients if name != sender], news)
+
+    def send_to(
+        self, names: list[str], *messages: SuspectNews | LimitNews
+    ) -> None:
+        """Send the messages that say something."""
+        for message in messages:
+            if not message.is_empty():
+                for name in names:
+                    self.peers.send(name, message)
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -7,6 +7,7 @@
 from cranberryrelay.relay._crash_suspects import SuspectNews
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_update import PeerUpdate
+from cranberryrelay.relay._rate_limits import LimitNews
 
 
 class Hello(NamedTuple):
@@ -113,4 +114,5 @@
     EngineChanging,
     Farewell,
     SuspectNews,
+    LimitNews,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -14,6 +14,7 @@
     HubReport,
 )
 from cranberryrelay.relay._membership import InstanceLocation, Membership
+from cranberryrelay.relay._news_exchange import NewsExchange
 from cranberryrelay.relay._peer_messages import (
     EngineChanging,
     Farewell,
@@ -24,9 +25,9 @@
     UpstreamShare,
 )
 from cranberryrelay.relay._peer_update import make_peer_update
+from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
-from cranberryrelay.relay._suspect_exchange import SuspectExchange
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
 
@@ -81,7 +82,7 @@
         self.anti_entropy = AntiEntropy(
             store_replica, self.membership, self.send
         )
-        self.suspect_exchange = SuspectExchange(self)
+        self.news_exchange = NewsExchange(self)
 
     def send_hello(self, name: str, address: str, answer: bool = True) -> None:
         """Introduce this instance at an address, unless it is leaving."""
@@ -121,7 +122,7 @@
         self.membership.record_message(sender, self.timers.now())
         if hello.answer:
             self.send_hello(sender, hello.location.address, answer=False)
-            self.suspect_exchange.send_summary(sender)
+            self.news_exchange.send_summary(sender)
         for name in self.add_peers(hello.known):
             self.send_hello(name, hello.known[name].address)
         self.update_live_instances()
@@ -179,7 +180,7 @@
             self.update_live_instances()
             if self.membership.leaving:
                 return
-            self.suspect_exchange.send_news()
+            self.news_exchange.send_news()
             if self.is_heartbeat_due(now):
                 self.send_heartbeat(now)
             if self.membership.uses_hubs:
@@ -204,7 +205,7 @@
         """Send a heartbeat whenever the data path requests one."""
         async for _ in self.state.heartbeat_requests:
             if not self.membership.leaving:
-                self.suspect_exchange.send_news()
+                self.news_exchange.send_news()
                 self.send_heartbeat(self.timers.now())
 
     def is_heartbeat_due(self, now: float) -> bool:
@@ -407,7 +408,12 @@
 
 @dispatch_message.register
 def _(message: SuspectNews, protocol: PeerProtocol, sender: str) -> None:
-    protocol.suspect_exchange.handle_news(sender, message)
+    protocol.news_exchange.handle_suspect_news(sender, message)
+
+
+@dispatch_message.register
+def _(message: LimitNews, protocol: PeerProtocol, sender: str) -> None:
+    protocol.news_exchange.handle_limit_news(sender, message)
 
 
 @dispatch_message.register
--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -4,6 +4,7 @@
 fleet of separate prefill and decode engines.
 """
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._backlog import Backlog
@@ -65,6 +66,11 @@
 FAILURE_SLOT_SHARE: Final = 2.0
 
 
+def always_may_send(upstream: str, now: float) -> bool:
+    """Return that there is no limit."""
+    return True
+
+
 class Candidate(NamedTuple):
     """A prefill engine with the forecast for a request placed there."""
 
@@ -106,6 +112,9 @@
     # Size of the request body in bytes.
     body_bytes: int = 0
 
+    # Whether an upstream may be sent a request at a time, by its name.
+    may_send: Callable[[str, float], bool] = always_may_send
+
     def domain_cost_seconds(self, domain: str) -> float:
         """Return the cost of placing the request in a failure domain."""
         if domain == self.domain:
@@ -268,6 +277,7 @@
         upstream
         for upstream in context.fleet.candidates(service, role, now)
         if upstream.name not in excluded
+        and context.may_send(upstream.name, now)
     ]
 
 
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -8,7 +8,7 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._attempts import Attempts
 from cranberryrelay.relay._backlog import InFlightCall
-from cranberryrelay.relay._catalogue import RequestKind, Upstream
+from cranberryrelay.relay._catalogue import RequestKind, Role, Upstream
 from cranberryrelay.relay._context import BufferedReply
 from cranberryrelay.relay._placement import choose_plain_upstream
 from cranberryrelay.relay._requests import UpstreamCall
@@ -31,12 +31,8 @@
         )
         attempts = 0
         while attempts < self.admitted.route.attempts_limit:
-            now = self.context.timers.now()
-            upstream = choose_plain_upstream(
-                self.context.state.placement_context(),
-                self.admitted.service,
-                self.excluded,
-                now,
+            upstream = await self.choose_within_limits(
+                self.choose_upstream, Role.PLAIN
             )
             if upstream is None or not self.may_send(attempts):
                 break
@@ -49,6 +45,15 @@
             attempts += failure is None or failure.code is not unreachable
         return outcome
 
+    def choose_upstream(self) -> Upstream | None:
+        """Choose the least busy process that has not failed this call."""
+        return choose_plain_upstream(
+            self.context.state.placement_context(),
+            self.admitted.service,
+            self.excluded,
+            self.context.timers.now(),
+        )
+
     async def send_to(
         self, upstream: Upstream
     ) -> Result[BufferedReply, Failure]:
@@ -56,7 +61,7 @@
         state = self.context.state
         sent = InFlightCall(0, self.context.timers.now())
         state.backlog.add(upstream.name, sent)
-        state.fleet.record_attempt(upstream.name, sent.sent_at)
+        state.record_attempt(upstream.name, sent.sent_at)
         try:
             outcome = await self.exchange(upstream)
         finally:
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -18,7 +18,7 @@
 )
 from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import InFlightCall
-from cranberryrelay.relay._catalogue import Rank, Upstream
+from cranberryrelay.relay._catalogue import Rank, Role, Upstream
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
 from cranberryrelay.relay._placement import (
     LONG_PROMPT_SECONDS,
@@ -112,7 +112,9 @@
         chosen = self.choose_engine()
         rank = self.admitted.route.rank
         forecast = self.forecast_load(chosen)
-        if chosen is None or has_capacity(rank, forecast):
+        if chosen is None and not self.is_limited(Role.PREFILL):
+            return None
+        if chosen is not None and has_capacity(rank, forecast):
             return chosen
         queue = self.context.state.admission_queue
         request_id = self.admitted.request.request_id
@@ -126,7 +128,8 @@
                 await self.context.timers.pause(RECHECK_SECONDS)
                 chosen = self.choose_engine()
                 forecast = self.forecast_load(chosen)
-                if queue.can_dispatch(request_id, rank, forecast):
+                dispatchable = queue.can_dispatch(request_id, rank, forecast)
+                if chosen is not None and dispatchable:
                     break
             self.log.record_queued(forecast, len(queue.queues[rank]))
         finally:
@@ -177,7 +180,7 @@
         self.record_segments(engine)
         sent = InFlightCall(chosen.read_seconds, self.context.timers.now())
         self.log.record_prefill_engine(chosen, sent.sent_at)
-        state.fleet.record_attempt(engine.name, sent.sent_at)
+        state.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         if chosen.read_seconds > LONG_PROMPT_SECONDS:
             state.request_heartbeat()
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -4,7 +4,6 @@
 """
 
 import logging
-from collections.abc import Iterable
 from contextlib import suppress
 from typing import Final, NamedTuple
 
@@ -77,7 +76,7 @@
         self.telemetry = RelayTelemetry()
         self.admission_queue = AdmissionQueue()
         self.crash_suspects = CrashSuspects()
-        self.rate_limits = RateLimits()
+        self.rate_limits = RateLimits(settings.name)
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -100,8 +99,18 @@
             self.prefix_index,
             self.settings.domain,
             body_bytes,
+            self.may_send,
         )
 
+    def may_send(self, upstream: str, now: float) -> bool:
+        """Return whether the rate that an upstream names allows a request."""
+        return self.rate_limits.may_send(upstream, self.live_instances, now)
+
+    def record_attempt(self, name: str, now: float) -> None:
+        """Record that a request was sent to an upstream."""
+        self.fleet.record_attempt(name, now)
+        self.rate_limits.record_sent(name, self.live_instances, now)
+
     def apply_settings(self, settings: InstanceSettings) -> None:
         """Apply reloaded settings.
 
@@ -179,6 +188,7 @@
             return
         if known and known.started_at_ms != upstream.started_at_ms:
             self.prefix_index.remove_engine(upstream.name)
+            self.rate_limits.remove(upstream.name)
             self.record_gone(known)
         self.fleet.put(upstream)
         _LOG.info(
@@ -252,24 +262,15 @@
                 name, now, counts_toward_backoff=not refused
             )
 
-    def record_interrupted(
-        self, engine: Upstream, digests: Iterable[str], now: float
-    ) -> None:
-        """Record a run of these prompt segments that an engine broke off."""
-        self.crash_suspects.record_interrupted(
-            engine.incarnation_id(), digests, now
-        )
-        self.announce_suspects()
-
     def record_gone(self, upstream: Upstream | None) -> None:
         """Record that an upstream cannot be reached or has ended."""
         if upstream is not None:
             self.crash_suspects.record_gone(upstream.incarnation_id())
-            self.announce_suspects()
+            self.announce_news()
 
-    def announce_suspects(self) -> None:
-        """Tell the other instances at once what is new about suspects."""
-        if self.crash_suspects.has_news():
+    def announce_news(self) -> None:
+        """Tell the other instances at once what is new about upstreams."""
+        if self.crash_suspects.has_news() or self.rate_limits.news:
             self.request_heartbeat()
 
     def record_success(self, name: str, now: float) -> None:
--- a/cranberryrelay/relay/tests/test_crash_suspects.py
+++ b/cranberryrelay/relay/tests/test_crash_suspects.py
@@ -159,6 +159,8 @@
         state.apply_table(make_table(5), 'test')
         engine = Upstream('e', 1, 's', 'e:1', 'a', 64, leaving, Role.DECODE)
         state.apply_upstream(engine, 'test')
-        state.record_interrupted(engine, PROMPT, NOW)
+        state.crash_suspects.record_interrupted(
+            engine.incarnation_id(), PROMPT, NOW
+        )
         state.remove_upstream('e', 'test')
         self.assertIs(state.crash_suspects.judge(PROMPT, NOW), expected)
