Place long prompts on engines that limit their request rate

Change: a limit counts requests, not tokens. A request to a limited engine costs 0.1 s of waiting less its own prefill time, so long prompts prefer these engines and short ones the others; long prompts may go to any limited engine. Slots are valid for 1.5 s instead of 1, as fewer are lost then.

Test: PlacementTest (a prompt of 12,000 and one of 500 tokens choose different engines; without the change each takes the other, so both rows fail).

--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -4,7 +4,7 @@
 fleet of separate prefill and decode engines.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._backlog import Backlog
@@ -54,6 +54,11 @@
 # an engine is sent before the other instances learn of it.
 AFFINITY_SECONDS: Final = 0.05
 
+# Prefill time that a request to an engine with a limited rate should carry, as
+# the limit counts requests, not tokens. Shorter prompts are placed there only
+# if the other engines have a longer backlog.
+LIMITED_REQUEST_SECONDS: Final = 0.1
+
 # Cost per running request at a decode engine, in seconds of waiting.
 RUNNING_REQUEST_COST_SECONDS: Final = 0.002
 
@@ -115,6 +120,9 @@
     # Whether an upstream may be sent a request at a time, by its name.
     may_send: Callable[[str, float], bool] = always_may_send
 
+    # Names of the upstreams that limit the rate of requests.
+    limited: Container[str] = ()
+
     def domain_cost_seconds(self, domain: str) -> float:
         """Return the cost of placing the request in a failure domain."""
         if domain == self.domain:
@@ -162,6 +170,8 @@
     cost = wait + health.error_rate * FAILURE_COST_SECONDS
     cost += context.domain_cost_seconds(engine.domain)
     cost += affinity_cost_seconds(engine, work)
+    if engine.name in context.limited:
+        cost += LIMITED_REQUEST_SECONDS - read_time
     shared_tokens = sum(segment.tokens for segment in shared)
     cost += max(shared_tokens - cached, 0) * SHARED_TOKEN_COST_SECONDS
     return Candidate(
@@ -192,6 +202,7 @@
         for one in candidates
         if one.read_seconds <= LONG_PROMPT_SECONDS
         or one.engine.name in dedicated
+        or one.engine.name in context.limited
         or one.nominal_wait_seconds <= LONG_PROMPT_SPILL_SECONDS
     ]
     return min(allowed or candidates, key=_by_cost, default=None)
--- a/cranberryrelay/relay/_rate_limits.py
+++ b/cranberryrelay/relay/_rate_limits.py
@@ -13,7 +13,7 @@
 from cranberryrelay.relay._hashing import hash_to_unit_interval
 
 # Time for which a slot may be used.
-SLOT_VALID_SECONDS: Final = 1.0
+SLOT_VALID_SECONDS: Final = 1.5
 
 # Keeps a slot from being found again after its position was rounded.
 _ROUNDING: Final = 1e-6
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -100,6 +100,7 @@
             self.settings.domain,
             body_bytes,
             self.may_send,
+            self.rate_limits.limits,
         )
 
     def may_send(self, upstream: str, now: float) -> bool:
--- a/cranberryrelay/relay/tests/test_rate_limits.py
+++ b/cranberryrelay/relay/tests/test_rate_limits.py
@@ -8,7 +8,16 @@
 
 from nose2.tools import params
 
+from cranberryrelay.relay._backlog import Backlog
+from cranberryrelay.relay._catalogue import Role, Upstream
+from cranberryrelay.relay._fleet import Fleet
+from cranberryrelay.relay._placement import (
+    PlacementContext,
+    choose_prefill_engine,
+)
+from cranberryrelay.relay._prefix_index import PrefixIndex
 from cranberryrelay.relay._rate_limits import SLOT_VALID_SECONDS, RateLimits
+from cranberryrelay.relay._requests import ModelRequest, PromptSegment
 
 NOW = 100.0
 STEP_SECONDS = 0.01
@@ -79,3 +88,28 @@
         restarted = RateLimits('front-a-2')
         restarted.apply_news(make_limits(0).summarize(), NOW)
         self.assertFalse(restarted.may_send('e', 1, NOW + 9))
+
+
+class PlacementTest(TestCase):
+    """A limit counts requests, so long prompts use it best.
+
+    Guards against short prompts that use up the slots of limited engines, so
+    that the others have to read all long prompts.
+    """
+
+    @params((12_000, 'limited'), (500, 'free'))
+    def test_prompt_length_decides(self, tokens: int, expected: str) -> None:
+        fleet = Fleet()
+        for name in ('free', 'limited'):
+            fleet.put(
+                Upstream(name, 1, 's', 'e:1', 'a', 64, False, Role.PREFILL)
+            )
+        context = PlacementContext(fleet, Backlog(), PrefixIndex(), 'a')
+        chosen = choose_prefill_engine(
+            context._replace(limited=('limited',)),
+            's',
+            ModelRequest('m', tokens, 30, (PromptSegment('own', tokens),)),
+            frozenset(),
+            NOW,
+        )
+        self.assertEqual(chosen and chosen.engine.name, expected)
