Test that a fleet without other traffic learns which segment crashes engines

In the first test, sound requests find a crashed engine unreachable at once. Here only the store tells, 3.6 s after the crash; two or three engines are lost, then the segment is refused. Passes on the code as it is.

--- a/cranberryrelay/relay/tests/fleet_play.py
+++ b/cranberryrelay/relay/tests/fleet_play.py
@@ -89,6 +89,7 @@
         self.size = size
         self.engines = engines
         self.served: dict[str, list[tuple[float, bool]]] = {}
+        self.states: list[RelayState] = []
 
     async def run(self, loads: tuple[Load, ...], seconds: float) -> None:
         """Start the fleet, let it discover itself, and send the requests."""
@@ -102,7 +103,8 @@
             for idx in range(self.size.instances):
                 name = f'front-{DOMAINS[idx % len(DOMAINS)]}-{idx:02d}'
                 await fleet.start(name, timers)
-                self.list_engines(fleet.protocols[name].state)
+                self.states.append(fleet.protocols[name].state)
+                self.list_engines(self.states[-1])
             await trio.sleep(DISCOVERY_SECONDS)
             contexts = [
                 RelayContext(one.state, client, TargetDialect(), timers)
@@ -144,6 +146,14 @@
         ]
         return sum(served) / max(len(served), 1)
 
+    def restart_engine(self, name: str) -> None:
+        """Replace an engine's entry by that of a new start, everywhere."""
+        for state in self.states:
+            ended = state.fleet.upstreams[name]
+            started = ended._replace(started_at_ms=ended.started_at_ms + 1)
+            state.remove_upstream(name, 'test')
+            state.apply_upstream(started, 'test')
+
     def list_engines(self, state: RelayState) -> None:
         """Give an instance its routing table and engines."""
         state.apply_table(make_table(1, make_route(RequestKind.STREAM)), 'test')
--- a/cranberryrelay/relay/tests/test_crashing_segments.py
+++ b/cranberryrelay/relay/tests/test_crashing_segments.py
@@ -16,6 +16,7 @@
 from cranberryrelay.relay import ModelRequest, PromptSegment
 from cranberryrelay.relay.tests.fixtures import BOUNDS
 from cranberryrelay.relay.tests.fleet_play import (
+    EVENT_SECONDS,
     EVENTS,
     ID_HEADER,
     PREFILL_RESPONSE,
@@ -36,6 +37,9 @@
 REQUESTS_ALLOWED = 3
 SOUND_SHARE = 0.5
 
+# Time after which the entry of a crashed engine is removed: three heartbeats.
+ENTRY_SECONDS = 3.6
+
 
 class CrashingEngines:
     """Engines that crash, with all their streams, on the deadly segment."""
@@ -98,6 +102,31 @@
     return ModelRequest('m', 200 * len(segments), 32, segments)
 
 
+async def play_without_other_traffic(
+    size: FleetSize, engines: CrashingEngines, per_second: float
+) -> None:
+    """Send only requests with the segment; the store lists new starts."""
+    play = FleetPlay(size, engines)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(update_entries, play, engines)
+        load = Load(DEADLY, per_second, make_work)
+        await play.run((load,), PLAY_SECONDS)
+        nursery.cancel_scope.cancel()
+
+
+async def update_entries(play: FleetPlay, engines: CrashingEngines) -> None:
+    """Replace the entry of each engine some time after its crash."""
+    listed: dict[str, int] = {}
+    while True:
+        await trio.sleep(EVENT_SECONDS)
+        for host, back_at in engines.down_until.items():
+            entry_due = back_at - DOWN_SECONDS + ENTRY_SECONDS
+            start = engines.starts[host]
+            if trio.current_time() >= entry_due and listed.get(host) != start:
+                listed[host] = start
+                play.restart_engine(host)
+
+
 class CrashingSegmentTest(TestCase):
     """Engines must not be crashed on and on by new requests."""
 
@@ -125,3 +154,23 @@
         self.assertLessEqual(len(late), REQUESTS_ALLOWED, crashes)
         begin = learned_at + 2 * BOUNDS.stable_seconds
         self.assertGreaterEqual(play.share_served(SOUND, begin), SOUND_SHARE)
+
+    # Guards against learning of a crash only from other requests that find the
+    # engine unreachable.
+    @params(
+        (FleetSize(6, 2, 2), 0.2),
+        (FleetSize(6, 2, 4), 0.2),
+        (FleetSize(21, 2, 6), 0.5),
+    )
+    def test_fleet_without_other_traffic_learns(
+        self, size: FleetSize, per_second: float
+    ) -> None:
+        engines = CrashingEngines()
+        clock = MockClock(autojump_threshold=0)
+        trio.run(
+            play_without_other_traffic, size, engines, per_second, clock=clock
+        )
+        crashes = engines.crashed_at
+        self.assertLessEqual(len(crashes), CRASHES_TO_LEARN_FROM)
+        last_reached_at = max(engines.deadly_reached_at)
+        self.assertLess(last_reached_at, crashes[-1] + BOUNDS.stable_seconds)
