Count a crashed engine for a trial only once it answers

Cause: a trial needs two decode engines in reach. A crashed engine counted as in reach as soon as its first backoff of 0.5 s ended; the trial began 0.8 s after the crash and took the other engine away.

Change: an engine that was found gone counts once it has answered, here or at a peer that reports its recovery, or has started anew.

Test: test_clearance, row 'nobody' failed (the trial was allowed after the backoff) and passes.

--- a/cranberryrelay/relay/_clearance.py
+++ b/cranberryrelay/relay/_clearance.py
@@ -137,6 +137,9 @@
             since_crash = now - self.suspects.last_crash_at
             return since_crash > LONE_ENGINE_PAUSE_SECONDS
         in_reach = [
-            one for one in engines if not fleet.is_in_backoff(one.name, now)
+            one
+            for one in engines
+            if not fleet.is_in_backoff(one.name, now)
+            and not self.suspects.is_gone(one.incarnation_id())
         ]
         return len(in_reach) >= TRIAL_ENGINES
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -242,6 +242,9 @@
             self.fleet.record_failure(name, now, counts_toward_backoff=False)
         for name in update.recovered:
             self.fleet.record_recovery(name)
+            recovered = self.fleet.upstreams.get(name)
+            if recovered is not None:
+                self.crash_suspects.record_answer(recovered.incarnation_id())
 
     def record_failure(self, name: str, failure: Failure, now: float) -> None:
         """Record a failure of an upstream and add it to the peer update.
