Log the store's era and the records that are ignored as older

The logs could not distinguish the hypotheses on a restored store: they named neither the revision of a listing nor the records that were read and left out. Added: 'listed' (revision, previous revision), 'store restored' (Store-Era of an answer rises), 'older upstream record ignored' (revision, known revision). The stand-in of the store can be restored from a copy and names its era in every answer.

--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -1,5 +1,6 @@
 """HTTP client of the target platform's store of records by kind and name."""
 
+import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from http import HTTPStatus
@@ -17,6 +18,11 @@
 CONNECT_SECONDS: Final = 1.0
 CALL_SECONDS: Final = 2.0
 CONNECTIONS_LIMIT: Final = 8
+
+# Header of every answer: how often the store was restored from an older copy,
+# plus a constant.
+ERA_HEADER: Final = 'Store-Era'
+_LOG: Final = logging.getLogger('cranberryrelay.relay')
 _MS_PER_SECOND: Final = 1000
 # Errors raised before the request is sent, so it was certainly not executed.
 _NOT_SENT_ERRORS: Final = (
@@ -73,6 +79,9 @@
         self.client = client
         self.calls: dict[str, int] = {}
 
+        # Latest era of the store in any answer; -1 before the first one.
+        self.latest_era = -1
+
     async def list_kind(self, kind: str) -> Result[KindListing, Failure]:
         """List all records of a kind; reads all pages."""
         records: list[KindRecord] = []
@@ -150,6 +159,18 @@
         reply = await self._call('DELETE', _object_path(kind, name))
         return reply.map(lambda _: None)
 
+    def record_era(self, era: int) -> None:
+        """Record the era of an answer; log it if the store was restored."""
+        if self.latest_era >= 0 and era != self.latest_era:
+            message = (
+                'store restored'
+                if era > self.latest_era
+                else 'answer of an earlier store era'
+            )
+            extra = {'era': era, 'latest_era': self.latest_era}
+            _LOG.warning(message, extra=extra)
+        self.latest_era = max(self.latest_era, era)
+
     async def _write(
         self, method: str, path: str, document: dict[str, Any]
     ) -> Result[KindRecord, Failure]:
@@ -184,6 +205,7 @@
             return Err(fail(ResultCode.STORE_UNAVAILABLE, repr(error)))
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, repr(error)))
+        self.record_era(_read_era(response))
         if response.is_success:
             return Ok(response.content)
         status = HTTPStatus(response.status_code)
@@ -193,6 +215,12 @@
         )
 
 
+def _read_era(response: httpx.Response) -> int:
+    """Return the store's era; 0 if the answer has no valid one."""
+    era = response.headers.get(ERA_HEADER, '')
+    return int(era) if era.isdecimal() else 0
+
+
 def _object_path(kind: str, name: str = '') -> str:
     base = f'/v1/objects/{kind}'
     return f'{base}/{name}' if name else base
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -112,9 +112,12 @@
     def apply_upstream_record(self, record: KindRecord, source: str) -> None:
         """Apply the record of an upstream if it is newer than the known one."""
         known = self.upstream_records.get(record.name)
-        if known and known.revision >= record.revision:
-            return
-        if self.removal_revisions.get(record.name, 0) >= record.revision:
+        known_revision = max(
+            known.revision if known else 0,
+            self.removal_revisions.get(record.name, 0),
+        )
+        if known_revision >= record.revision:
+            self.log_older_record(record, known_revision, source)
             return
         self.upstream_records[record.name] = record
         upstream = self.decoders.decode_upstream(record)
@@ -129,6 +132,8 @@
         """Remove an upstream, unless a newer record of it is known."""
         known = self.upstream_records.get(name)
         if known and known.revision > revision:
+            removed = KindRecord(name, revision, None)
+            self.log_older_record(removed, known.revision, source)
             return
         self.upstream_records.pop(name, None)
         self.record_removal(Removal(name, revision))
@@ -147,6 +152,23 @@
         """Advance the revision up to which the upstreams are known."""
         self.upstream_revision = max(self.upstream_revision, revision)
 
+    def log_older_record(
+        self, record: KindRecord, known_revision: int, source: str
+    ) -> None:
+        """Log a record or removal that the store sent and that is ignored.
+
+        Peers send older ones all the time, the store hardly ever.
+        """
+        if source == FROM_STORE and record.revision < known_revision:
+            _LOG.warning(
+                'older upstream record ignored',
+                extra={
+                    'upstream': record.name,
+                    'revision': record.revision,
+                    'known_revision': known_revision,
+                },
+            )
+
     def log_invalid_record(self, name: str, failure: Failure) -> None:
         """Log an invalid record once per upstream."""
         if name in self.invalid_names:
--- a/cranberryrelay/relay/_watchers.py
+++ b/cranberryrelay/relay/_watchers.py
@@ -74,6 +74,15 @@
                 await self.back_off(listed.unwrap_err())
                 continue
             self.record_success()
+            _LOG.info(
+                'listed',
+                extra={
+                    'kind': self.callbacks.kind,
+                    'records': len(listed.unwrap().records),
+                    'revision': listed.unwrap().revision,
+                    'previous_revision': self.revision,
+                },
+            )
             self.revision = listed.unwrap().revision
             self.callbacks.on_listing(listed.unwrap())
             await self.watch()
--- a/cranberryrelay/standins/_target_store.py
+++ b/cranberryrelay/standins/_target_store.py
@@ -39,6 +39,16 @@
     lost_answers: int = 0
 
 
+class StoreCopy(NamedTuple):
+    """A copy of the records, from which the store can be restored."""
+
+    # Records by kind and name.
+    records: dict[tuple[str, str], dict[str, Any]]
+
+    # Revision of the store when the copy was made.
+    revision: int
+
+
 class TargetStoreStandIn:
     """Records with revisions and a history of changes to watch."""
 
@@ -47,6 +57,9 @@
         self.history: list[StoreChange] = []
         self.compacted_revision = 0
         self.revision = 0
+
+        # Incremented each time the store is restored from a copy.
+        self.era = 1
         self.faults = TargetStoreFaults()
         self.changed = trio.Event()
 
@@ -81,6 +94,19 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Copy all records."""
+        return StoreCopy(dict(self.records), self.revision)
+
+    def restore(self, copied: StoreCopy) -> None:
+        """Lose all that was written since the copy, revisions too."""
+        self.records = dict(copied.records)
+        self.revision = copied.revision
+        self.era += 1
+        self.compact_history()
+        self.changed.set()
+        self.changed = trio.Event()
+
     def find_changes(self, kind: str, after_revision: int) -> list[StoreChange]:
         """Return the changes of a kind after a revision, oldest first."""
         return [
@@ -119,14 +145,19 @@
     ) -> Response:
         """Wait for changes of a kind after a revision.
 
-        Status 410 if changes after the revision may have been discarded.
+        Status 410 if changes after the revision may have been discarded, or
+        if the store has not reached it, as after a restore.
         """
-        if after_revision < self.store.compacted_revision:
+        store = self.store
+        if not store.compacted_revision <= after_revision <= store.revision:
             return Response('', HTTPStatus.GONE)
+        era = store.era
         with trio.move_on_after(wait_seconds):
-            while not self.store.find_changes(kind, after_revision):
-                await self.store.changed.wait()
-        changes = self.store.find_changes(kind, after_revision)
+            while not store.find_changes(kind, after_revision):
+                await store.changed.wait()
+                if store.era != era:
+                    return Response('', HTTPStatus.SERVICE_UNAVAILABLE)
+        changes = store.find_changes(kind, after_revision)
         events = [
             {'object': change.record, 'removed': change.removed}
             for change in changes
@@ -197,6 +228,12 @@
     """Make the HTTP app of a store."""
     app = QuartTrio('cranberryrelay.standins.target_store')
     routes = TargetStoreRoutes(store)
+
+    async def add_era(response: Response) -> Response:
+        response.headers['Store-Era'] = str(store.era)
+        return response
+
+    app.after_request(add_era)
     app.get(KINDS_PATH)(routes.list_or_watch)
     app.post(KINDS_PATH)(routes.create)
     app.get(RECORD_PATH)(routes.read)
