Identify a state of the store by its era and revision together

Cause: records, removals, progress of watches and repairs between instances were ordered by revision alone. A store restored from a copy gives revisions out again, so a record written after the restore looked older than the one known and was left out for good. Change: StorePosition (era, revision) is the one mark in records, listings, changes, heartbeats and shares. A watch answered in another era, or a listing that spans a restore, is listed again. A share across eras holds all upstreams. Instances of builds before and after this don't read each other's heartbeats. Test: test_restored_store, five scenes on the stand-in in virtual time; all four against the store failed before, the fifth needs the new types. 97 tests of the modules concerned pass.

--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -5,14 +5,19 @@
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 import httpx
 import msgspec
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
-from cranberryrelay.relay import KindListing, KindRecord, RecordChange
+from cranberryrelay.relay import (
+    KindListing,
+    KindRecord,
+    RecordChange,
+    StorePosition,
+)
 from cranberryrelay.wire import KEEP_ALIVE_OPTIONS
 
 CONNECT_SECONDS: Final = 1.0
@@ -56,6 +61,16 @@
     status: Any = None
 
 
+class _Answer(NamedTuple):
+    """A successful answer of the store."""
+
+    # Era of the store in which it was given.
+    era: int
+
+    # Body of the answer.
+    body: bytes
+
+
 class _Page(msgspec.Struct, frozen=True):
     items: list[_Object]
     store_revision: int
@@ -83,52 +98,53 @@
         self.latest_era = -1
 
     async def list_kind(self, kind: str) -> Result[KindListing, Failure]:
-        """List all records of a kind; reads all pages."""
+        """List all records of a kind; reads all pages.
+
+        Errors: ``STORE_HISTORY_GONE`` if the store is restored between pages.
+        """
         records: list[KindRecord] = []
+        era: int | None = None
         after = ''
         while True:
             query = {'after': after} if after else {}
-            page = await self._get_decoded(_Page, _object_path(kind), query)
+            answer = await self._get(_object_path(kind), query)
+            page = answer.and_then(_decode_page)
             if isinstance(page, Err):
                 return page
             listed = page.unwrap()
-            records.extend(_to_record(item) for item in listed.items)
+            page_era = answer.unwrap().era
+            if era not in {None, page_era}:
+                return Err(_history_gone(kind, page_era))
+            era = page_era
+            records.extend(_to_record(item, era) for item in listed.items)
             if not listed.truncated or not listed.items:
-                return Ok(KindListing(tuple(records), listed.store_revision))
+                position = StorePosition(era, listed.store_revision)
+                return Ok(KindListing(tuple(records), position))
             after = listed.items[-1].metadata.name
 
     async def watch_kind(
-        self, kind: str, after_revision: int, wait_seconds: float
+        self, kind: str, after: StorePosition, wait_seconds: float
     ) -> Result[RecordChange, Failure]:
-        """Wait for changes after a revision of the store (long poll).
+        """Wait for changes after a state of the store (long poll).
 
         Errors: ``STORE_HISTORY_GONE`` if the store no longer has the changes
-        since that revision; the kind must then be listed again.
+        since that state or was restored; the kind must then be listed again.
         """
         query = {
-            'watch': str(after_revision),
+            'watch': str(after.revision),
             'wait_ms': str(int(wait_seconds * _MS_PER_SECOND)),
         }
-        reply = await self._get_decoded(
-            _Events, _object_path(kind), query, wait_seconds + CALL_SECONDS
-        )
-        if isinstance(reply, Err):
-            return reply
-        events = reply.unwrap()
-        changed = [event.object for event in events.events if not event.removed]
-        removed = [event.object for event in events.events if event.removed]
-        return Ok(
-            RecordChange(
-                changed=tuple(_to_record(item) for item in changed),
-                removed=tuple(item.metadata.name for item in removed),
-                revision=events.store_revision,
-            )
+        answer = await self._get(
+            _object_path(kind), query, wait_seconds + CALL_SECONDS
         )
+        if answer.is_ok() and answer.unwrap().era != after.era:
+            return Err(_history_gone(kind, answer.unwrap().era))
+        return answer.and_then(_to_change)
 
     async def read(self, kind: str, name: str) -> Result[KindRecord, Failure]:
         """Read one record; errors: ``STORE_NOT_FOUND``."""
-        reply = await self._get_decoded(_Object, _object_path(kind, name), {})
-        return reply.map(_to_record)
+        answer = await self._get(_object_path(kind, name), {})
+        return answer.and_then(_decode_record)
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -147,7 +163,10 @@
 
         Errors: ``STORE_CONFLICT``, ``STORE_NOT_FOUND``.
         """
-        metadata = {'name': record.name, 'revision': record.revision}
+        metadata = {
+            'name': record.name,
+            'revision': record.position.revision,
+        }
         return await self._write(
             'PUT',
             _object_path(kind, record.name),
@@ -180,24 +199,20 @@
             content=msgspec.json.encode(document),
             headers={'Content-Type': 'application/json'},
         )
-        return reply.and_then(
-            lambda body: _decode(body, _Object).map(_to_record)
-        )
+        return reply.and_then(_decode_record)
 
-    async def _get_decoded(
+    async def _get(
         self,
-        schema: Any,
         path: str,
         query: dict[str, str],
         timeout_seconds: float = CALL_SECONDS,
-    ) -> Result[Any, Failure]:
+    ) -> Result[_Answer, Failure]:
         timeout = httpx.Timeout(timeout_seconds, connect=CONNECT_SECONDS)
-        reply = await self._call('GET', path, params=query, timeout=timeout)
-        return reply.and_then(lambda body: _decode(body, schema))
+        return await self._call('GET', path, params=query, timeout=timeout)
 
     async def _call(
         self, method: str, path: str, **arguments: Any
-    ) -> Result[bytes, Failure]:
+    ) -> Result[_Answer, Failure]:
         self.calls[method] = self.calls.get(method, 0) + 1
         try:
             response = await self.client.request(method, path, **arguments)
@@ -205,9 +220,10 @@
             return Err(fail(ResultCode.STORE_UNAVAILABLE, repr(error)))
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, repr(error)))
-        self.record_era(_read_era(response))
+        era = _read_era(response)
+        self.record_era(era)
         if response.is_success:
-            return Ok(response.content)
+            return Ok(_Answer(era, response.content))
         status = HTTPStatus(response.status_code)
         code = _CODES_BY_STATUS.get(status, ResultCode.STORE_OUTCOME_UNKNOWN)
         return Err(
@@ -226,10 +242,41 @@
     return f'{base}/{name}' if name else base
 
 
-def _to_record(stored: _Object) -> KindRecord:
+def _history_gone(kind: str, era: int) -> Failure:
+    detail = f'the store was restored: {kind} is now in era {era}'
+    return fail(ResultCode.STORE_HISTORY_GONE, detail)
+
+
+def _decode_page(answer: _Answer) -> Result[_Page, Failure]:
+    return _decode(answer.body, _Page)
+
+
+def _decode_record(answer: _Answer) -> Result[KindRecord, Failure]:
+    stored = _decode(answer.body, _Object)
+    return stored.map(lambda found: _to_record(found, answer.era))
+
+
+def _to_record(stored: _Object, era: int) -> KindRecord:
     metadata = stored.metadata
     value = stored.status if stored.spec is None else stored.spec
-    return KindRecord(metadata.name, metadata.revision, value)
+    position = StorePosition(era, metadata.revision)
+    return KindRecord(metadata.name, position, value)
+
+
+def _to_change(answer: _Answer) -> Result[RecordChange, Failure]:
+    decoded = _decode(answer.body, _Events)
+    if isinstance(decoded, Err):
+        return decoded
+    events = decoded.unwrap()
+    changed = [event.object for event in events.events if not event.removed]
+    removed = [event.object for event in events.events if event.removed]
+    return Ok(
+        RecordChange(
+            changed=tuple(_to_record(item, answer.era) for item in changed),
+            removed=tuple(item.metadata.name for item in removed),
+            position=StorePosition(answer.era, events.store_revision),
+        )
+    )
 
 
 def _decode(body: bytes, schema: Any) -> Result[Any, Failure]:
--- a/cranberryrelay/platform/tests/test_target_adapter.py
+++ b/cranberryrelay/platform/tests/test_target_adapter.py
@@ -18,6 +18,7 @@
     KvSource,
     RequestKind,
     Role,
+    StorePosition,
     UpstreamCall,
 )
 
@@ -127,12 +128,16 @@
 
     @params(*((case,) for case in RECORD_CASES))
     def test_upstream_records(self, case: RecordCase) -> None:
-        record = KindRecord('i-1', 5, {**RECORD, **case.change})
+        record = KindRecord(
+            'i-1', StorePosition(1, 5), {**RECORD, **case.change}
+        )
         upstream = decode_upstream(record).ok()
         self.assertEqual(upstream and upstream.role, case.role)
 
     def test_value_that_is_no_object_is_invalid(self) -> None:
-        self.assertTrue(decode_upstream(KindRecord('i', 1, 'x')).is_err())
+        self.assertTrue(
+            decode_upstream(KindRecord('i', StorePosition(1, 1), 'x')).is_err()
+        )
 
     def test_longest_prefix_wins(self) -> None:
         routes = [ROUTE, {**ROUTE, 'name': 'long', 'path_prefix': '/x/y/'}]
--- a/cranberryrelay/relay/_anti_entropy.py
+++ b/cranberryrelay/relay/_anti_entropy.py
@@ -15,7 +15,7 @@
 
 
 class AntiEntropy:
-    """Compares the revisions in heartbeats with the local ones."""
+    """Compares the positions in heartbeats with the local ones."""
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         """
         note_lags = self.store_replica.state.revision() > heartbeat.revision
         upstreams_lag = (
-            self.store_replica.upstream_revision > heartbeat.upstream_revision
+            self.store_replica.upstream_position > heartbeat.upstream_position
         )
         peer = self.membership.peers[sender]
         if not (note_lags or upstreams_lag):
@@ -57,5 +57,5 @@
         if note is not None:
             self.send(sender, note)
         if upstreams_lag:
-            after = heartbeat.upstream_revision
+            after = heartbeat.upstream_position
             self.send(sender, self.store_replica.make_upstream_share(after))
--- a/cranberryrelay/relay/_duties.py
+++ b/cranberryrelay/relay/_duties.py
@@ -67,7 +67,7 @@
         store_replica = self.protocol.store_replica
         if heartbeat.revision > store_replica.state.revision():
             return True
-        return heartbeat.upstream_revision > store_replica.upstream_revision
+        return heartbeat.upstream_position > store_replica.upstream_position
 
     def standby_index(self) -> int:
         """Return how many live instances precede this one for such tasks.
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -8,6 +8,7 @@
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_update import PeerUpdate
 from cranberryrelay.relay._rate_limits import LimitNews
+from cranberryrelay.relay._records import StorePosition
 
 
 class Hello(NamedTuple):
@@ -35,8 +36,8 @@
     # Revision of the release note in force at the sender.
     revision: int
 
-    # Revision of the store up to which the sender knows the upstreams.
-    upstream_revision: int
+    # State of the store up to which the sender knows the upstreams.
+    upstream_position: StorePosition
 
 
 class GroupBeat(NamedTuple):
@@ -52,8 +53,8 @@
     # Revision of the release note in force at the sender.
     revision: int
 
-    # Revision of the store up to which the sender knows the upstreams.
-    upstream_revision: int
+    # State of the store up to which the sender knows the upstreams.
+    upstream_position: StorePosition
 
     # Number of live instances. To a member: in the fleet. To a hub: in the
     # sender's failure domain.
@@ -74,17 +75,17 @@
 class UpstreamShare(NamedTuple):
     """Changes of upstreams that the receiver lacks."""
 
-    # Changed records as (name, revision, value).
-    changed: list[tuple[str, int, Any]]
+    # Changed records as (name, position, value).
+    changed: list[tuple[str, StorePosition, Any]]
 
     # Names of removed records.
     removed: list[str]
 
-    # Revision of the store after which the changes are complete.
-    after: int
+    # State of the store after which the changes are complete.
+    after: StorePosition
 
-    # Revision of the store up to which the changes are complete.
-    revision: int
+    # State of the store up to which the changes are complete.
+    position: StorePosition
 
 
 class EngineChanging(NamedTuple):
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -228,7 +228,7 @@
             loads=state.backlog.own_loads(now),
             update=update,
             revision=self.state.revision(),
-            upstream_revision=self.store_replica.upstream_revision,
+            upstream_position=self.store_replica.upstream_position,
         )
         state.peer_update = make_peer_update()
         self.last_heartbeat_at = now
@@ -282,7 +282,7 @@
             loads={},
             update=group_hub.take_member_update(),
             revision=self.state.revision(),
-            upstream_revision=self.store_replica.upstream_revision,
+            upstream_position=self.store_replica.upstream_position,
             instances=self.state.live_instances,
             store_reachable=self.state.is_store_reachable()
             or group_hub.is_store_reachable_elsewhere(),
--- a/cranberryrelay/relay/_records.py
+++ b/cranberryrelay/relay/_records.py
@@ -1,20 +1,42 @@
 """Interface to the platform's store, and the records that it returns."""
 
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 from result import Result
 
 from cranberryrelay.codes import Failure
 
 
+class StorePosition(NamedTuple):
+    """A state of the store; positions are ordered as the states followed.
+
+    A revision alone doesn't identify a state: a store that is restored from an
+    older copy loses its last revisions and gives them out again.
+    """
+
+    # Number of the store's history; rises each time the store is restored.
+    era: int
+
+    # Revision within the era.
+    revision: int
+
+
+# Position before every state of the store.
+STORE_ORIGIN: Final = StorePosition(-1, 0)
+
+
 class KindRecord(NamedTuple):
-    """A record in the store, with the revision of its last change."""
+    """A record in the store and the state in which it was last changed.
+
+    After a restore, that is the era in which the record was read: the earlier
+    history no longer counts.
+    """
 
     # Name, unique within the kind.
     name: str
 
-    # Store revision of the record's last change.
-    revision: int
+    # State of the store at the record's last change.
+    position: StorePosition
 
     # The value, as plain JSON types.
     value: Any
@@ -26,12 +48,12 @@
     # The records of the kind.
     records: tuple[KindRecord, ...]
 
-    # Store revision at which the snapshot was taken.
-    revision: int
+    # State of the store at which the snapshot was taken.
+    position: StorePosition
 
 
 class RecordChange(NamedTuple):
-    """Changes of the records of a kind between two store revisions."""
+    """Changes of the records of a kind between two states of the store."""
 
     # Records that were created or replaced.
     changed: tuple[KindRecord, ...]
@@ -39,8 +61,8 @@
     # Names of records that were removed.
     removed: tuple[str, ...]
 
-    # Store revision up to which the changes are complete.
-    revision: int
+    # State of the store up to which the changes are complete.
+    position: StorePosition
 
 
 class RecordStore(Protocol):
@@ -54,11 +76,12 @@
         """List all records of a kind."""
 
     async def watch_kind(
-        self, kind: str, after_revision: int, wait_seconds: float
+        self, kind: str, after: StorePosition, wait_seconds: float
     ) -> Result[RecordChange, Failure]:
-        """Wait up to ``wait_seconds`` for changes after a store revision.
+        """Wait up to ``wait_seconds`` for changes after a state of the store.
 
-        Errors: ``STORE_HISTORY_GONE`` if the kind must be listed again.
+        Errors: ``STORE_HISTORY_GONE`` if the kind must be listed again, as
+        the store was restored or no longer has the changes since that state.
         """
 
     async def read(self, kind: str, name: str) -> Result[KindRecord, Failure]:
@@ -74,6 +97,9 @@
     ) -> Result[KindRecord, Failure]:
         """Replace a record if its revision in the store is unchanged.
 
+        The store compares revisions only: the caller must check that the
+        position returned is in the era in which it read the record.
+
         Errors: ``STORE_CONFLICT`` if it changed, ``STORE_NOT_FOUND``.
         """
 
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -1,7 +1,8 @@
 """Local replica of the store's release note and upstreams.
 
-Records from the store and from peers are merged by revision, so that an older
-one never replaces a newer one, whatever its source.
+Records from the store and from peers are merged by the position at which they
+were last changed, so that an older one never replaces a newer one, whatever its
+source. After a restore of the store all its records are newer.
 """
 
 import logging
@@ -15,9 +16,11 @@
 from cranberryrelay.relay._catalogue import RoutingTable, Upstream
 from cranberryrelay.relay._peer_messages import NoteShare, UpstreamShare
 from cranberryrelay.relay._records import (
+    STORE_ORIGIN,
     KindListing,
     KindRecord,
     RecordChange,
+    StorePosition,
 )
 from cranberryrelay.relay._state import RelayState
 
@@ -47,8 +50,8 @@
     # Name of the upstream.
     name: str
 
-    # Revision of the store by which the record was removed.
-    revision: int
+    # State of the store by which the record was removed.
+    position: StorePosition
 
 
 class StoreReplica:
@@ -60,8 +63,8 @@
         self.note_value: Any = None
         self.upstream_records: dict[str, KindRecord] = {}
         self.removals: deque[Removal] = deque(maxlen=REMOVALS_LIMIT)
-        self.removal_revisions: dict[str, int] = {}
-        self.upstream_revision = 0
+        self.removal_positions: dict[str, StorePosition] = {}
+        self.upstream_position = STORE_ORIGIN
         self.invalid_names: set[str] = set()
 
     def apply_note_listing(self, listing: KindListing) -> None:
@@ -97,27 +100,27 @@
         for record in listing.records:
             self.apply_upstream_record(record, FROM_STORE)
         for name in self.upstream_records.keys() - listed:
-            self.remove_upstream(name, listing.revision, FROM_STORE)
+            self.remove_upstream(name, listing.position, FROM_STORE)
         self.state.upstreams_listed = True
-        self.advance_revision(listing.revision)
+        self.advance_position(listing.position)
 
     def apply_upstream_changes(self, change: RecordChange) -> None:
         """Apply changes of upstreams from the store."""
         for record in change.changed:
             self.apply_upstream_record(record, FROM_STORE)
         for name in change.removed:
-            self.remove_upstream(name, change.revision, FROM_STORE)
-        self.advance_revision(change.revision)
+            self.remove_upstream(name, change.position, FROM_STORE)
+        self.advance_position(change.position)
 
     def apply_upstream_record(self, record: KindRecord, source: str) -> None:
         """Apply the record of an upstream if it is newer than the known one."""
         known = self.upstream_records.get(record.name)
-        known_revision = max(
-            known.revision if known else 0,
-            self.removal_revisions.get(record.name, 0),
+        known_position = max(
+            known.position if known else STORE_ORIGIN,
+            self.removal_positions.get(record.name, STORE_ORIGIN),
         )
-        if known_revision >= record.revision:
-            self.log_older_record(record, known_revision, source)
+        if known_position >= record.position:
+            self.log_older_record(record, known_position, source)
             return
         self.upstream_records[record.name] = record
         upstream = self.decoders.decode_upstream(record)
@@ -128,44 +131,46 @@
         self.invalid_names.discard(record.name)
         self.state.apply_upstream(upstream.unwrap(), source)
 
-    def remove_upstream(self, name: str, revision: int, source: str) -> None:
+    def remove_upstream(
+        self, name: str, position: StorePosition, source: str
+    ) -> None:
         """Remove an upstream, unless a newer record of it is known."""
         known = self.upstream_records.get(name)
-        if known and known.revision > revision:
-            removed = KindRecord(name, revision, None)
-            self.log_older_record(removed, known.revision, source)
+        if known and known.position > position:
+            removed = KindRecord(name, position, None)
+            self.log_older_record(removed, known.position, source)
             return
         self.upstream_records.pop(name, None)
-        self.record_removal(Removal(name, revision))
+        self.record_removal(Removal(name, position))
         self.state.remove_upstream(name, source)
 
     def record_removal(self, removal: Removal) -> None:
         """Record a removal; discard the oldest one at the limit."""
         if len(self.removals) == REMOVALS_LIMIT:
             oldest = self.removals.popleft()
-            if self.removal_revisions.get(oldest.name) == oldest.revision:
-                self.removal_revisions.pop(oldest.name)
-        self.removal_revisions[removal.name] = removal.revision
+            if self.removal_positions.get(oldest.name) == oldest.position:
+                self.removal_positions.pop(oldest.name)
+        self.removal_positions[removal.name] = removal.position
         self.removals.append(removal)
 
-    def advance_revision(self, revision: int) -> None:
-        """Advance the revision up to which the upstreams are known."""
-        self.upstream_revision = max(self.upstream_revision, revision)
+    def advance_position(self, position: StorePosition) -> None:
+        """Advance the position up to which the upstreams are known."""
+        self.upstream_position = max(self.upstream_position, position)
 
     def log_older_record(
-        self, record: KindRecord, known_revision: int, source: str
+        self, record: KindRecord, known_position: StorePosition, source: str
     ) -> None:
         """Log a record or removal that the store sent and that is ignored.
 
         Peers send older ones all the time, the store hardly ever.
         """
-        if source == FROM_STORE and record.revision < known_revision:
+        if source == FROM_STORE and record.position < known_position:
             _LOG.warning(
                 'older upstream record ignored',
                 extra={
                     'upstream': record.name,
-                    'revision': record.revision,
-                    'known_revision': known_revision,
+                    'position': record.position,
+                    'known_position': known_position,
                 },
             )
 
@@ -185,44 +190,54 @@
             return None
         return NoteShare(self.note_value)
 
-    def make_upstream_share(self, after: int) -> UpstreamShare:
-        """Return the upstreams that changed after a revision for a peer."""
+    def make_upstream_share(self, after: StorePosition) -> UpstreamShare:
+        """Return the upstreams that changed after a position for a peer.
+
+        After a position in an earlier era these are all upstreams.
+        """
         changed = [
-            (record.name, record.revision, record.value)
+            (record.name, record.position, record.value)
             for record in self.upstream_records.values()
-            if record.revision > after
+            if record.position > after
         ]
         removed = [
             removal.name
             for removal in self.removals
-            if removal.revision > after
+            if removal.position > after
             and removal.name not in self.upstream_records
         ]
-        if len(self.removals) == REMOVALS_LIMIT:
+        same_era = after.era == self.upstream_position.era
+        if same_era and len(self.removals) == REMOVALS_LIMIT:
             # Removals older than the first one kept may be missing.
-            after = max(after, self.removals[0].revision)
-        return UpstreamShare(changed, removed, after, self.upstream_revision)
+            after = max(after, self.removals[0].position)
+        return UpstreamShare(changed, removed, after, self.upstream_position)
 
     def apply_note_share(self, share: NoteShare) -> None:
         """Apply a release note from a peer."""
-        record = KindRecord(self.decoders.note_name, 0, share.value)
+        record = KindRecord(self.decoders.note_name, STORE_ORIGIN, share.value)
         self.apply_note(record, FROM_PEER)
 
     def apply_upstream_share(self, share: UpstreamShare) -> None:
         """Apply changes of upstreams from a peer.
 
-        The known revision advances only if the changes leave no gap after it.
+        The known position advances only if the changes leave no gap after it.
+        Changes since an earlier era are all upstreams of the later one: the
+        others are gone.
         """
-        for name, revision, value in share.changed:
+        for name, position, value in share.changed:
             self.apply_upstream_record(
-                KindRecord(name, revision, value), FROM_PEER
+                KindRecord(name, position, value), FROM_PEER
             )
         for name in share.removed:
-            self.remove_upstream(name, share.revision, FROM_PEER)
+            self.remove_upstream(name, share.position, FROM_PEER)
+        if share.after.era < share.position.era:
+            shared = {name for name, _, _ in share.changed}
+            for name in self.upstream_records.keys() - shared:
+                self.remove_upstream(name, share.position, FROM_PEER)
         if (
             self.state.upstreams_listed
-            and share.after <= self.upstream_revision
+            and share.after <= self.upstream_position
         ):
-            self.advance_revision(share.revision)
+            self.advance_position(share.position)
         if share.changed:
             self.state.upstreams_listed = True
--- a/cranberryrelay/relay/_watchers.py
+++ b/cranberryrelay/relay/_watchers.py
@@ -9,6 +9,7 @@
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.relay._records import (
+    STORE_ORIGIN,
     KindListing,
     RecordChange,
     RecordStore,
@@ -63,7 +64,7 @@
         self.callbacks = callbacks
         self.timers = timers
         self.rng = rng
-        self.revision = 0
+        self.position = STORE_ORIGIN
         self.failures = 0
 
     async def run(self) -> None:
@@ -79,11 +80,11 @@
                 extra={
                     'kind': self.callbacks.kind,
                     'records': len(listed.unwrap().records),
-                    'revision': listed.unwrap().revision,
-                    'previous_revision': self.revision,
+                    'position': listed.unwrap().position,
+                    'previous_position': self.position,
                 },
             )
-            self.revision = listed.unwrap().revision
+            self.position = listed.unwrap().position
             self.callbacks.on_listing(listed.unwrap())
             await self.watch()
 
@@ -93,7 +94,7 @@
             while not self.callbacks.needs_watch():
                 await self.timers.pause(POLL_SECONDS)
             result = await self.store.watch_kind(
-                self.callbacks.kind, self.revision, WATCH_TIMEOUT_SECONDS
+                self.callbacks.kind, self.position, WATCH_TIMEOUT_SECONDS
             )
             if isinstance(result, Err):
                 failure = result.unwrap_err()
@@ -109,9 +110,9 @@
             await self.timers.pause(self.callbacks.batch_seconds())
 
     def apply(self, result: Result[RecordChange, Any]) -> None:
-        """Pass changes to the callbacks and advance the revision."""
+        """Pass changes to the callbacks and advance the position."""
         change = result.unwrap()
-        self.revision = max(self.revision, change.revision)
+        self.position = max(self.position, change.position)
         if change.changed or change.removed:
             self.callbacks.on_change(change)
 
--- a/cranberryrelay/relay/tests/fixtures.py
+++ b/cranberryrelay/relay/tests/fixtures.py
@@ -17,6 +17,7 @@
     RoutingTable,
     Service,
     ServiceShare,
+    StorePosition,
     make_routing_table,
 )
 from cranberryrelay.standins import FIRST_PORT, LAST_PORT, LOOPBACK
@@ -36,6 +37,11 @@
 )
 
 
+def at(revision: int) -> StorePosition:
+    """Return a position in the only era of a store."""
+    return StorePosition(1, revision)
+
+
 def make_settings(
     name: str = 'front-a-1', domain: str = 'a'
 ) -> InstanceSettings:
--- a/cranberryrelay/relay/tests/test_account_reader.py
+++ b/cranberryrelay/relay/tests/test_account_reader.py
@@ -7,6 +7,7 @@
 from cranberryrelay.relay._account_buffer import SegmentFields
 from cranberryrelay.relay._account_reader import find_request
 from cranberryrelay.relay._account_writer import digest_segment
+from cranberryrelay.relay.tests.fixtures import at
 
 
 def make_segments() -> tuple[KindRecord, ...]:
@@ -21,7 +22,9 @@
             requests={str(revision): [f'r{index}']},
         )
         previous = digest_segment(segment)
-        records.append(KindRecord(f'front-a-1-x-{index:06d}', index, segment))
+        records.append(
+            KindRecord(f'front-a-1-x-{index:06d}', at(index), segment)
+        )
     return tuple(records)
 
 
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -26,7 +26,7 @@
 from cranberryrelay.relay._registration import send_hello_to_listed
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
-from cranberryrelay.relay.tests.fixtures import make_settings, make_table
+from cranberryrelay.relay.tests.fixtures import at, make_settings, make_table
 from cranberryrelay.relay.tests.test_store_replica import make_upstream_record
 from cranberryrelay.timing import open_timer_service
 
@@ -288,7 +288,7 @@
 ) -> None:
     """Apply a change from the store at one instance."""
     fleet.protocols[name].store_replica.apply_upstream_changes(
-        RecordChange((make_upstream_record('i-1', revision),), (), revision)
+        RecordChange((make_upstream_record('i-1', revision),), (), at(revision))
     )
 
 
@@ -297,7 +297,7 @@
     lagging = [
         name
         for name, protocol in fleet.protocols.items()
-        if protocol.store_replica.upstream_revision < revision
+        if protocol.store_replica.upstream_position < at(revision)
     ]
     assert not lagging, lagging
 
@@ -310,7 +310,7 @@
             domain = DOMAINS[idx % len(DOMAINS)]
             name = f'front-{domain}-{idx // len(DOMAINS):02d}'
             await fleet.start(name, timers)
-            listing = KindListing((make_upstream_record('i-1', 10),), 10)
+            listing = KindListing((make_upstream_record('i-1', 10),), at(10))
             fleet.protocols[name].store_replica.apply_upstream_listing(listing)
         await trio.sleep(5)
         await scenario(fleet)
--- a/cranberryrelay/relay/tests/test_order_lease.py
+++ b/cranberryrelay/relay/tests/test_order_lease.py
@@ -17,7 +17,7 @@
 from cranberryrelay.codes import Failure, ResultCode, fail
 from cranberryrelay.relay import KindRecord
 from cranberryrelay.relay._order_lease import OrderLease
-from cranberryrelay.relay.tests.fixtures import BOUNDS
+from cranberryrelay.relay.tests.fixtures import BOUNDS, at
 from cranberryrelay.timing import open_timer_service
 
 RUN_SECONDS = 60.0
@@ -42,21 +42,21 @@
     async def create(
         self, kind: str, name: str, value: Any
     ) -> Result[KindRecord, Failure]:
-        return await self.write(0, KindRecord(name, 1, value))
+        return await self.write(0, KindRecord(name, at(1), value))
 
     async def replace(
         self, kind: str, record: KindRecord
     ) -> Result[KindRecord, Failure]:
-        return await self.write(record.revision, record)
+        return await self.write(record.position.revision, record)
 
     async def write(
         self, expected: int, record: KindRecord
     ) -> Result[KindRecord, Failure]:
         await trio.sleep(self.rng.uniform(0, 0.2))
-        current = self.record.revision if self.record else 0
+        current = self.record.position.revision if self.record else 0
         if current != expected:
             return Err(fail(ResultCode.STORE_CONFLICT, record.name))
-        self.record = record._replace(revision=current + 1)
+        self.record = record._replace(position=at(current + 1))
         await trio.sleep(self.rng.uniform(0, 0.2))
         if self.rng.random() < LOST_ANSWER_RATIO:
             return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, 'lost'))
--- /dev/null
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -0,0 +1,210 @@
+"""A store that comes back from an older copy of its records.
+
+Guards against taking a lower revision for an older state: after a restore,
+revisions are given out again.
+"""
+
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
+from unittest import TestCase
+
+import httpx
+import trio
+from nose2.tools import params
+from trio.testing import MockClock
+
+from cranberryrelay.platform import UPSTREAM_KIND, TargetStore
+from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
+from cranberryrelay.relay.tests.test_store_replica import make_replica
+from cranberryrelay.standins import TargetStoreStandIn, make_target_store_app
+from cranberryrelay.timing import TimerService, open_timer_service
+
+SETTLE_SECONDS = 3.0
+
+
+class Scene(NamedTuple):
+    """A store and one instance that watches it."""
+
+    store: TargetStoreStandIn
+    client: TargetStore
+    replica: StoreReplica
+    timers: TimerService
+    nursery: trio.Nursery
+
+
+def put_engine(
+    store: TargetStoreStandIn,
+    name: str,
+    state: str = 'ready',
+    report_number: int = 1,
+) -> None:
+    """Write the entry of an engine."""
+    value = {
+        'service': 's',
+        'address': '10.0.0.9:8080',
+        'zone': 'a',
+        'slots': 6,
+        'state': state,
+        'born': 17,
+        'sequence': report_number,
+    }
+    store.put(UPSTREAM_KIND, name, value)
+
+
+def put_other_records(store: TargetStoreStandIn, count: int) -> None:
+    """Advance the store's revision."""
+    for idx in range(count):
+        store.put('other', str(idx), {})
+
+
+@asynccontextmanager
+async def open_scene() -> AsyncIterator[Scene]:
+    """Open a store with an instance that watches the upstreams."""
+    store = TargetStoreStandIn()
+    app: Any = make_target_store_app(store)
+    transport = httpx.ASGITransport(app)
+    async with (
+        httpx.AsyncClient(transport=transport, base_url='http://s') as http,
+        open_timer_service() as timers,
+        trio.open_nursery() as nursery,
+    ):
+        scene = Scene(store, TargetStore(http), make_replica(), timers, nursery)
+        yield scene
+        nursery.cancel_scope.cancel()
+
+
+def start_watcher(
+    scene: Scene, replica: StoreReplica, needs_watch: Callable[[], bool]
+) -> None:
+    """Let an instance list the upstreams, then watch while it needs to."""
+    callbacks = WatchCallbacks(
+        UPSTREAM_KIND,
+        replica.apply_upstream_listing,
+        replica.apply_upstream_changes,
+        lambda kind, reachable: None,
+        needs_watch,
+        float,
+    )
+    watcher = KindWatcher(
+        scene.client, callbacks, scene.timers, random.Random(1)
+    )
+    scene.nursery.start_soon(watcher.run)
+
+
+def read_fleet(replica: StoreReplica) -> dict[str, bool]:
+    """Return whether each known upstream is leaving, by name."""
+    upstreams = replica.state.fleet.upstreams.values()
+    return {one.name: one.leaving for one in upstreams}
+
+
+async def engine_that_leaves_after_the_restore(scene: Scene) -> None:
+    """Report an engine as leaving at a revision given out again."""
+    copied = scene.store.copy()
+    put_other_records(scene.store, 20)
+    put_engine(scene.store, 'i-1', report_number=2)
+    start_watcher(scene, scene.replica, lambda: True)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    put_engine(scene.store, 'i-1', 'draining', 3)
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': True}
+
+
+async def engine_that_the_copy_lacks(scene: Scene) -> None:
+    """Lose an engine that started after the copy."""
+    put_engine(scene.store, 'i-1')
+    copied = scene.store.copy()
+    put_other_records(scene.store, 20)
+    put_engine(scene.store, 'i-2')
+    start_watcher(scene, scene.replica, lambda: True)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': False}
+
+
+async def engine_removed_after_the_restore(scene: Scene) -> None:
+    """Remove an engine at a revision given out again."""
+    put_engine(scene.store, 'i-1')
+    put_engine(scene.store, 'i-2')
+    copied = scene.store.copy()
+    put_other_records(scene.store, 20)
+    put_engine(scene.store, 'i-2', report_number=2)
+    start_watcher(scene, scene.replica, lambda: True)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.remove(UPSTREAM_KIND, 'i-2')
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': False}
+
+
+async def revision_that_is_reached_again(scene: Scene) -> None:
+    """Resume a watch at a lost revision that the store reached again."""
+    put_engine(scene.store, 'i-1')
+    copied = scene.store.copy()
+    put_other_records(scene.store, 20)
+    watching = [False]
+    start_watcher(scene, scene.replica, lambda: watching[0])
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    put_engine(scene.store, 'i-1', 'draining', 2)
+    put_other_records(scene.store, 40)
+    watching[0] = True
+    await trio.sleep(SETTLE_SECONDS)
+    put_other_records(scene.store, 1)
+    put_engine(scene.store, 'i-2')
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': True, 'i-2': False}
+
+
+async def peer_with_the_lost_history(scene: Scene) -> None:
+    """Repair a peer that knows only the lost history, not the reverse."""
+    put_engine(scene.store, 'i-1')
+    copied = scene.store.copy()
+    put_other_records(scene.store, 20)
+    put_engine(scene.store, 'i-2')
+    peer = make_replica()
+    watching = [True]
+    start_watcher(scene, scene.replica, lambda: True)
+    start_watcher(scene, peer, lambda: watching[0])
+    await trio.sleep(SETTLE_SECONDS)
+    watching[0] = False
+    scene.store.restore(copied)
+    put_engine(scene.store, 'i-1', 'draining', 2)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.replica.apply_upstream_share(
+        peer.make_upstream_share(scene.replica.upstream_position)
+    )
+    assert read_fleet(scene.replica) == {'i-1': True}
+    assert scene.replica.upstream_position > peer.upstream_position
+    peer.apply_upstream_share(
+        scene.replica.make_upstream_share(peer.upstream_position)
+    )
+    assert read_fleet(peer) == {'i-1': True}
+    assert scene.replica.upstream_position == peer.upstream_position
+
+
+async def run_scene(scenario: Callable[[Scene], Awaitable[None]]) -> None:
+    """Run a scenario against a new store."""
+    async with open_scene() as scene:
+        await scenario(scene)
+
+
+class RestoredStoreTest(TestCase):
+    """What the store says after a restore replaces what it said before."""
+
+    @params(
+        engine_that_leaves_after_the_restore,
+        engine_that_the_copy_lacks,
+        engine_removed_after_the_restore,
+        revision_that_is_reached_again,
+        peer_with_the_lost_history,
+    )
+    def test_upstreams_follow_the_restored_store(
+        self, scenario: Callable[[Scene], Awaitable[None]]
+    ) -> None:
+        trio.run(run_scene, scenario, clock=MockClock(autojump_threshold=0))
--- a/cranberryrelay/relay/tests/test_store_replica.py
+++ b/cranberryrelay/relay/tests/test_store_replica.py
@@ -20,6 +20,7 @@
     KindListing,
     KindRecord,
     RecordChange,
+    StorePosition,
 )
 from cranberryrelay.relay._account_writer import (
     AccountWriter,
@@ -34,7 +35,7 @@
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import REMOVALS_LIMIT, StoreReplica
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
-from cranberryrelay.relay.tests.fixtures import make_settings
+from cranberryrelay.relay.tests.fixtures import at, make_settings
 from cranberryrelay.timing import TimerService, open_timer_service
 
 HISTORY_GONE = fail(ResultCode.STORE_HISTORY_GONE, 'test')
@@ -64,7 +65,7 @@
         'slots': 6,
         'state': state,
     }
-    return KindRecord(name, revision, value)
+    return KindRecord(name, at(revision), value)
 
 
 class StoreReplicaTest(TestCase):
@@ -74,8 +75,8 @@
         replica = make_replica()
         for version in (5, 9, 7):
             replica.apply_note_share(NoteShare(make_note(version)))
-        record = KindRecord(CONFIGURATION_NAME, 30, make_note(8))
-        replica.apply_note_listing(KindListing((record,), 30))
+        record = KindRecord(CONFIGURATION_NAME, at(30), make_note(8))
+        replica.apply_note_listing(KindListing((record,), at(30)))
         table = replica.state.table
         assert table is not None
         self.assertEqual(table.revision, 9)
@@ -83,19 +84,21 @@
     def test_stale_share_does_not_restore_removed_upstream(self) -> None:
         replica = make_replica()
         removed = make_upstream_record('i-1', 10)
-        replica.apply_upstream_listing(KindListing((removed,), 10))
-        replica.apply_upstream_changes(RecordChange((), ('i-1',), 20))
-        stale_entries = [(removed.name, removed.revision, removed.value)]
-        replica.apply_upstream_share(UpstreamShare(stale_entries, [], 5, 15))
+        replica.apply_upstream_listing(KindListing((removed,), at(10)))
+        replica.apply_upstream_changes(RecordChange((), ('i-1',), at(20)))
+        stale_entries = [(removed.name, removed.position, removed.value)]
+        replica.apply_upstream_share(
+            UpstreamShare(stale_entries, [], at(5), at(15))
+        )
         self.assertEqual(replica.state.fleet.upstreams, {})
 
     def test_draining_state_is_applied_from_peer(self) -> None:
         replica = make_replica()
         replica.apply_upstream_listing(
-            KindListing((make_upstream_record('i-1', 10),), 10)
+            KindListing((make_upstream_record('i-1', 10),), at(10))
         )
         draining = make_upstream_record('i-1', 12, 'draining')
-        share = UpstreamShare([tuple(draining)], [], 10, 12)
+        share = UpstreamShare([tuple(draining)], [], at(10), at(12))
         replica.apply_upstream_share(share)
         self.assertTrue(replica.state.fleet.upstreams['i-1'].leaving)
 
@@ -105,44 +108,44 @@
             make_upstream_record('i-1', 10),
             make_upstream_record('i-2', 11),
         )
-        replica.apply_upstream_listing(KindListing(both, 11))
-        replica.apply_upstream_listing(KindListing(both[:1], 20))
+        replica.apply_upstream_listing(KindListing(both, at(11)))
+        replica.apply_upstream_listing(KindListing(both[:1], at(20)))
         self.assertEqual(list(replica.state.fleet.upstreams), ['i-1'])
-        share = replica.make_upstream_share(15)
+        share = replica.make_upstream_share(at(15))
         self.assertEqual(share.removed, ['i-2'])
 
     def test_recreated_upstream_survives_share(self) -> None:
         sender = make_replica()
         sender.apply_upstream_listing(
-            KindListing((make_upstream_record('i-1', 10),), 10)
+            KindListing((make_upstream_record('i-1', 10),), at(10))
         )
-        sender.apply_upstream_changes(RecordChange((), ('i-1',), 20))
+        sender.apply_upstream_changes(RecordChange((), ('i-1',), at(20)))
         recreated = make_upstream_record('i-1', 25)
-        sender.apply_upstream_changes(RecordChange((recreated,), (), 25))
-        sender.advance_revision(30)
+        sender.apply_upstream_changes(RecordChange((recreated,), (), at(25)))
+        sender.advance_position(at(30))
         receiver = make_replica()
         receiver.apply_upstream_listing(
-            KindListing((make_upstream_record('i-1', 10),), 10)
+            KindListing((make_upstream_record('i-1', 10),), at(10))
         )
-        receiver.apply_upstream_share(sender.make_upstream_share(10))
+        receiver.apply_upstream_share(sender.make_upstream_share(at(10)))
         self.assertEqual(list(receiver.state.fleet.upstreams), ['i-1'])
-        self.assertEqual(receiver.upstream_revision, 30)
+        self.assertEqual(receiver.upstream_position, at(30))
 
     def test_removals_are_bounded(self) -> None:
         replica = make_replica()
         for idx in range(REMOVALS_LIMIT + 5):
-            replica.remove_upstream(f'i-{idx}', idx + 1, 'test')
-        self.assertEqual(len(replica.removal_revisions), REMOVALS_LIMIT)
-        replica.advance_revision(REMOVALS_LIMIT + 5)
-        self.assertEqual(replica.make_upstream_share(0).after, 6)
+            replica.remove_upstream(f'i-{idx}', at(idx + 1), 'test')
+        self.assertEqual(len(replica.removal_positions), REMOVALS_LIMIT)
+        replica.advance_position(at(REMOVALS_LIMIT + 5))
+        self.assertEqual(replica.make_upstream_share(at(0)).after, at(6))
 
     def test_invalid_record_removes_upstream(self) -> None:
         replica = make_replica()
         replica.apply_upstream_listing(
-            KindListing((make_upstream_record('i-1', 10),), 10)
+            KindListing((make_upstream_record('i-1', 10),), at(10))
         )
-        invalid = KindRecord('i-1', 11, 'no entry')
-        replica.apply_upstream_changes(RecordChange((invalid,), (), 11))
+        invalid = KindRecord('i-1', at(11), 'no entry')
+        replica.apply_upstream_changes(RecordChange((invalid,), (), at(11)))
         self.assertEqual(replica.state.fleet.upstreams, {})
 
 
@@ -165,9 +168,9 @@
         return await self.answer('list')
 
     async def watch_kind(
-        self, kind: str, after_revision: int, wait_seconds: float
+        self, kind: str, after: StorePosition, wait_seconds: float
     ) -> Result[RecordChange, Failure]:
-        return await self.answer(f'watch {after_revision}')
+        return await self.answer(f'watch {after.revision}')
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -183,16 +186,16 @@
     calls: tuple[str, ...]
 
 
-LISTED = KindListing((), 10)
+LISTED = KindListing((), at(10))
 FOLLOW_CASES = (
     FollowCase(
         'watch continues at the revision of a change',
-        (LISTED, RecordChange((), (), 14)),
+        (LISTED, RecordChange((), (), at(14))),
         ('list', 'watch 10', 'watch 14'),
     ),
     FollowCase(
         'history gone: listed again',
-        (LISTED, HISTORY_GONE, KindListing((), 30)),
+        (LISTED, HISTORY_GONE, KindListing((), at(30))),
         ('list', 'watch 10', 'list', 'watch 30'),
     ),
     FollowCase(
--- a/cranberryrelay/soak/tests/test_site.py
+++ b/cranberryrelay/soak/tests/test_site.py
@@ -10,12 +10,12 @@
 from trio.testing import MockClock
 
 from cranberryrelay.codes import Failure, ResultCode, fail
-from cranberryrelay.relay import KindRecord
+from cranberryrelay.relay import KindRecord, StorePosition
 from cranberryrelay.soak._layout import Layout
 from cranberryrelay.soak._site import Site
 from cranberryrelay.timing import open_timer_service
 
-RECORD = KindRecord('main', 4, 'old')
+RECORD = KindRecord('main', StorePosition(1, 4), 'old')
 OUTCOME_UNKNOWN = fail(ResultCode.STORE_OUTCOME_UNKNOWN, 'test')
 CONFLICT = fail(ResultCode.STORE_CONFLICT, 'test')
 NOT_FOUND = fail(ResultCode.STORE_NOT_FOUND, 'test')
@@ -39,7 +39,7 @@
     async def replace(
         self, kind: str, record: KindRecord
     ) -> Result[Any, Failure]:
-        return self.answer(f'replace {record.revision} {record.value}')
+        return self.answer(f'replace {record.position.revision} {record.value}')
 
     def answer(self, call: str) -> Result[Any, Failure]:
         """Record a call and return the next result of the script."""
--- a/cranberryrelay/standins/_target_store.py
+++ b/cranberryrelay/standins/_target_store.py
@@ -204,6 +204,11 @@
             self.store.put(kind, name, submitted['spec'])
         )
 
+    async def add_era(self, response: Response) -> Response:
+        """Name the store's era in an answer."""
+        response.headers['Store-Era'] = str(self.store.era)
+        return response
+
     def reply_to_write(self, record: dict[str, Any]) -> Response:
         """Reply to a write that took effect; status 500 to lose the answer."""
         remaining = self.store.faults.lost_answers
@@ -228,12 +233,7 @@
     """Make the HTTP app of a store."""
     app = QuartTrio('cranberryrelay.standins.target_store')
     routes = TargetStoreRoutes(store)
-
-    async def add_era(response: Response) -> Response:
-        response.headers['Store-Era'] = str(store.era)
-        return response
-
-    app.after_request(add_era)
+    app.after_request(routes.add_era)
     app.get(KINDS_PATH)(routes.list_or_watch)
     app.post(KINDS_PATH)(routes.create)
     app.get(RECORD_PATH)(routes.read)
