Keep departures of engines final when a restored store names them again

Callers could be sent to an engine that had reported leaving, or had left, as the copy from which the store is restored still names it as ready; with the mark of era and revision such a record is newer than the one known. Cause: whether an engine leaves was taken from the latest record alone, though an incarnation that has reported it never takes new work again. Change: leaving is final for an incarnation. One that was removed counts again in a later era only with a higher report number than the last one known. Left: an instance that starts after the restore can't know; it learns from the engine's next report (about a heartbeat) or the lapse of the entry.

--- a/cranberryrelay/platform/_record_decoding.py
+++ b/cranberryrelay/platform/_record_decoding.py
@@ -104,6 +104,8 @@
     stage: str = ''
     # Start time in Unix milliseconds; 0 if unknown.
     born: int = 0
+    # Number of the report, rising since the start.
+    sequence: int = 0
 
 
 def decode_configuration(value: Any) -> Result[RoutingTable, Failure]:
@@ -159,6 +161,7 @@
             slots=entry.slots,
             leaving=entry.state == 'draining',
             role=_ROLES_BY_STAGE.get(entry.stage, Role.PLAIN),
+            report_number=entry.sequence,
         )
     )
 
--- a/cranberryrelay/relay/_catalogue.py
+++ b/cranberryrelay/relay/_catalogue.py
@@ -196,6 +196,10 @@
     # Kind of work that it currently serves.
     role: Role
 
+    # Number of its report to the store, rising since its start; 0 if the
+    # upstream does not number them.
+    report_number: int = 0
+
     def incarnation_id(self) -> str:
         """Return an id that changes even if a restart keeps the name."""
         return f'{self.name}/{self.started_at_ms}'
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -199,6 +199,7 @@
                 'role': upstream.role,
                 'leaving': upstream.leaving,
                 'address': upstream.address,
+                'report_number': upstream.report_number,
                 'source': source,
             },
         )
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -54,6 +54,28 @@
     position: StorePosition
 
 
+class Departed(NamedTuple):
+    """An upstream whose record was removed."""
+
+    # The upstream as last known.
+    upstream: Upstream
+
+    # State of the store by which its record was removed.
+    position: StorePosition
+
+    def is_outdated(self, found: Upstream, position: StorePosition) -> bool:
+        """Return whether a record was written before the removal was lost.
+
+        In the same era a record at a later position was written later. In a
+        later era only the upstream's own count of its reports tells.
+        """
+        return (
+            position.era > self.position.era
+            and found.started_at_ms == self.upstream.started_at_ms
+            and 0 < found.report_number <= self.upstream.report_number
+        )
+
+
 class StoreReplica:
     """Merges records from the store and from peers into the state."""
 
@@ -63,6 +85,7 @@
         self.note_value: Any = None
         self.upstream_records: dict[str, KindRecord] = {}
         self.removals: deque[Removal] = deque(maxlen=REMOVALS_LIMIT)
+        self.departed: dict[str, Departed] = {}
         self.removal_positions: dict[str, StorePosition] = {}
         self.upstream_position = STORE_ORIGIN
         self.invalid_names: set[str] = set()
@@ -129,7 +152,38 @@
             self.state.remove_upstream(record.name, source)
             return
         self.invalid_names.discard(record.name)
-        self.state.apply_upstream(upstream.unwrap(), source)
+        self.apply_upstream(upstream.unwrap(), record.position, source)
+
+    def apply_upstream(
+        self, upstream: Upstream, position: StorePosition, source: str
+    ) -> None:
+        """Apply an upstream; what is final for an incarnation stays so.
+
+        A restored store may still name an incarnation that has left, or name
+        one as ready that has reported that it is leaving.
+        """
+        departed = self.departed.get(upstream.name)
+        if departed and departed.is_outdated(upstream, position):
+            _LOG.info(
+                'report of an upstream that has left',
+                extra={
+                    'upstream': upstream.name,
+                    'report_number': upstream.report_number,
+                    'position': position,
+                },
+            )
+            return
+        known = self.state.fleet.upstreams.get(upstream.name)
+        if known is None and departed:
+            known = departed.upstream
+        if (
+            known
+            and known.leaving
+            and known.started_at_ms == upstream.started_at_ms
+        ):
+            upstream = upstream._replace(leaving=True)
+        self.departed.pop(upstream.name, None)
+        self.state.apply_upstream(upstream, source)
 
     def remove_upstream(
         self, name: str, position: StorePosition, source: str
@@ -142,6 +196,9 @@
             return
         self.upstream_records.pop(name, None)
         self.record_removal(Removal(name, position))
+        upstream = self.state.fleet.upstreams.get(name)
+        if upstream is not None:
+            self.departed[name] = Departed(upstream, position)
         self.state.remove_upstream(name, source)
 
     def record_removal(self, removal: Removal) -> None:
@@ -150,6 +207,7 @@
             oldest = self.removals.popleft()
             if self.removal_positions.get(oldest.name) == oldest.position:
                 self.removal_positions.pop(oldest.name)
+                self.departed.pop(oldest.name, None)
         self.removal_positions[removal.name] = removal.position
         self.removals.append(removal)
 
--- a/cranberryrelay/relay/tests/test_restored_store.py
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -161,6 +161,27 @@
     assert read_fleet(scene.replica) == {'i-1': True, 'i-2': False}
 
 
+async def engine_that_left_before_the_restore(scene: Scene) -> None:
+    """Restore the entries of engines that have left or are leaving."""
+    for name in ('i-1', 'i-2', 'i-3'):
+        put_engine(scene.store, name, report_number=4)
+    copied = scene.store.copy()
+    put_engine(scene.store, 'i-1', 'draining', 5)
+    put_engine(scene.store, 'i-2', 'draining', 5)
+    start_watcher(scene, scene.replica, lambda: True)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.remove(UPSTREAM_KIND, 'i-2')
+    scene.store.remove(UPSTREAM_KIND, 'i-3')
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': True}
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': True}
+    put_engine(scene.store, 'i-3', report_number=6)
+    await trio.sleep(SETTLE_SECONDS)
+    assert read_fleet(scene.replica) == {'i-1': True, 'i-3': False}
+
+
 async def peer_with_the_lost_history(scene: Scene) -> None:
     """Repair a peer that knows only the lost history, not the reverse."""
     put_engine(scene.store, 'i-1')
@@ -202,6 +223,7 @@
         engine_that_the_copy_lacks,
         engine_removed_after_the_restore,
         revision_that_is_reached_again,
+        engine_that_left_before_the_restore,
         peer_with_the_lost_history,
     )
     def test_upstreams_follow_the_restored_store(
