End a lease term with the store's era; give out no fencing token twice

A store that is restored loses the lease record or its last terms. Cause: the record in the store was taken for proof that no later term existed. Change: a token is higher than all of earlier eras; a term is valid only in the era in which it was written; a write answered in another era starts no term; the first term waits as any other, since a missing record proves nothing.

--- a/cranberryrelay/relay/_order_lease.py
+++ b/cranberryrelay/relay/_order_lease.py
@@ -8,6 +8,10 @@
 waits if the record held its own name, since that earlier term may not have
 begun.  So orders of two holders are at least the separation apart, even if the
 former holder was paused anywhere between its read and its order's deadline.
+
+A store that is restored from an older copy loses terms.  A term therefore ends
+with the era of the store in which it began, and fencing tokens of a later era
+are higher.  A missing record does not prove that there was no earlier term.
 """
 
 import logging
@@ -29,6 +33,14 @@
 # Timeout of an order, and so the longest time that it can be in transit.
 ORDER_TIMEOUT_SECONDS: Final = 0.6
 WAIT_MARGIN_SECONDS: Final = 0.3
+
+# Fencing tokens of one era of the store. Tokens stay below 2**53 for two
+# million eras, so that every JSON decoder reads them exactly.
+TOKENS_PER_ERA: Final = 4_294_967_296
+
+# Content of a lease record that nobody has held yet.
+NO_HOLDER: Final = ''
+NO_TOKEN: Final = 0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -38,6 +50,9 @@
     # Fencing token of the orders in this term; increases with each term.
     token: int
 
+    # Era of the store in which the term was written.
+    era: int
+
     # Local clock time before which no order may be sent, in seconds.
     begins_at: float
 
@@ -101,49 +116,52 @@
         own = self.term
         if own is None or fields is None:
             return False
-        return fields == (self.holder, own.token)
+        same_era = own.era == record.position.era
+        return same_era and fields == (self.holder, own.token)
 
     async def _create(self) -> Result[int, Failure]:
+        """Create the record to learn the store's era, then take it over."""
         created = await self.store.create(
-            LEASE_KIND, LEASE_NAME, self._encode_record(1)
+            LEASE_KIND, LEASE_NAME, _encode_record(NO_HOLDER, NO_TOKEN)
         )
-        return self._start_term(created, 1, 0)
+        if isinstance(created, Err):
+            return created
+        return await self._take_over(created.unwrap())
 
     async def _take_over(self, record: KindRecord) -> Result[int, Failure]:
         fields = _decode_record(record.value)
         if fields is None:
             detail = f'the lease record {LEASE_NAME} is malformed'
             return Err(fail(ResultCode.FRAME_MALFORMED, detail))
-        token = fields[1] + 1
-        value = self._encode_record(token)
+        era = record.position.era
+        token = max(fields[1], era * TOKENS_PER_ERA) + 1
+        value = _encode_record(self.holder, token)
         replaced = await self.store.replace(
             LEASE_KIND, record._replace(value=value)
         )
-        return self._start_term(replaced, token, self.takeover_wait_seconds)
-
-    def _start_term(
-        self,
-        written: Result[KindRecord, Failure],
-        token: int,
-        wait_seconds: float,
-    ) -> Result[int, Failure]:
-        if isinstance(written, Err):
-            return written
-        now = self.timers.now()
-        self.term = LeaseTerm(token, now + wait_seconds)
+        if isinstance(replaced, Err):
+            return replaced
+        if replaced.unwrap().position.era != era:
+            detail = 'the store was restored while the lease was written'
+            return Err(fail(ResultCode.LEASE_LOST, detail))
+        return self._start_term(token, era)
+
+    def _start_term(self, token: int, era: int) -> Result[int, Failure]:
+        begins_at = self.timers.now() + self.takeover_wait_seconds
+        self.term = LeaseTerm(token, era, begins_at)
         _LOG.info(
             'lease acquired',
-            extra={'token': token, 'wait_seconds': wait_seconds},
+            extra={
+                'token': token,
+                'era': era,
+                'wait_seconds': self.takeover_wait_seconds,
+            },
         )
-        if wait_seconds:
-            return Err(
-                fail(ResultCode.LEASE_LOST, 'the lease term has not begun')
-            )
-        self.verified_at = now
-        return Ok(token)
+        return Err(fail(ResultCode.LEASE_LOST, 'the lease term has not begun'))
+
 
-    def _encode_record(self, token: int) -> dict[str, Any]:
-        return {'holder': self.holder, 'token': token}
+def _encode_record(holder: str, token: int) -> dict[str, Any]:
+    return {'holder': holder, 'token': token}
 
 
 def _decode_record(value: Any) -> tuple[str, int] | None:
