Register an instance again in each later era of the store

An instance registers once, at its start. A restored store may have lost that record: instances that start later find only the seeds, and those that started between copy and restore are found by nobody who hasn't met them. Cause: a created record was taken as there for good. And after an outage the first watch waited up to 25 s for a change before it told the era. Change: the era in which the record is known to exist is kept; in a later one it is created again, spread over time by a hash of the name (100 a second in all). The first watch after an outage returns at once. Test: registration_that_the_copy_lacks fails without the repetition and without the immediate answer (each checked by disabling it) and passes with both.

--- a/cranberryrelay/relay/_registration.py
+++ b/cranberryrelay/relay/_registration.py
@@ -8,12 +8,25 @@
 from result import Err
 
 from cranberryrelay.codes import ResultCode
+from cranberryrelay.relay._hashing import hash_to_unit_interval
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_protocol import PeerProtocol
-from cranberryrelay.relay._records import KindRecord, RecordStore
+from cranberryrelay.relay._records import (
+    STORE_ORIGIN,
+    KindListing,
+    KindRecord,
+    RecordStore,
+)
 
 INSTANCE_KIND: Final = 'relay-instances'
 REGISTER_RETRY_SECONDS: Final = 0.5
+
+# Interval at which the era of the store is compared with that of the record.
+ERA_CHECK_SECONDS: Final = 0.5
+
+# Rate at which all instances together register in a new era, a part of the
+# store's write rate.
+REGISTRATIONS_PER_SECOND: Final = 100.0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -27,30 +40,56 @@
     domain: str
 
 
-async def register(store: RecordStore, protocol: PeerProtocol) -> None:
-    """Register the instance in the store and introduce it to those listed."""
+async def keep_registered(store: RecordStore, protocol: PeerProtocol) -> None:
+    """Register the instance, introduce it, and register it in later eras.
+
+    A store that is restored from an older copy may have lost the record.
+    """
     settings = protocol.state.settings
     for ip in settings.seed_ips:
         address = f'{ip}:{settings.peer_port}'
         protocol.send_hello(address, address)
+    await _create_record(store, protocol)
+    listed = await _list_instances(store, protocol)
+    locations = dict(_read_locations(listed.records))
+    send_hello_to_listed(protocol, locations)
+    registered_in = (
+        listed.position if protocol.name in locations else STORE_ORIGIN
+    )
+    era = registered_in.era
+    async for _ in protocol.timers.subscribe(ERA_CHECK_SECONDS):
+        known_era = protocol.store_replica.upstream_position.era
+        if known_era > era:
+            instances = protocol.state.live_instances
+            spread_seconds = instances / REGISTRATIONS_PER_SECOND
+            share = hash_to_unit_interval(protocol.name)
+            await protocol.timers.pause(share * spread_seconds)
+            await _create_record(store, protocol)
+            _LOG.info('registered in a later era', extra={'era': known_era})
+            era = known_era
+
+
+async def _create_record(store: RecordStore, protocol: PeerProtocol) -> None:
     value = LocationFields(
         address=protocol.location.address, domain=protocol.location.domain
     )
     while True:
         created = await store.create(INSTANCE_KIND, protocol.name, value)
         if not isinstance(created, Err):
-            break
+            return
         if created.unwrap_err().code is ResultCode.STORE_CONFLICT:
-            break
+            return
         await protocol.timers.pause(REGISTER_RETRY_SECONDS)
+
+
+async def _list_instances(
+    store: RecordStore, protocol: PeerProtocol
+) -> KindListing:
     while True:
         listed = await store.list_kind(INSTANCE_KIND)
         if not isinstance(listed, Err):
-            break
+            return listed.unwrap()
         await protocol.timers.pause(REGISTER_RETRY_SECONDS)
-    send_hello_to_listed(
-        protocol, dict(_read_locations(listed.unwrap().records))
-    )
 
 
 def send_hello_to_listed(
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -18,7 +18,7 @@
 from cranberryrelay.relay._peer_messages import PEER_MESSAGE_TYPES
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._records import RecordStore
-from cranberryrelay.relay._registration import register
+from cranberryrelay.relay._registration import keep_registered
 from cranberryrelay.relay._requests import Dialect
 from cranberryrelay.relay._role_controller import RoleController
 from cranberryrelay.relay._settings import InstanceSettings
@@ -103,7 +103,7 @@
             nursery.start_soon(
                 NoteArchive(dependencies.store, duties, timers).run
             )
-            nursery.start_soon(register, dependencies.store, peers)
+            nursery.start_soon(keep_registered, dependencies.store, peers)
             await _serve_callers(tools, peers, stop)
             await account.write()
             nursery.cancel_scope.cancel()
--- a/cranberryrelay/relay/_watchers.py
+++ b/cranberryrelay/relay/_watchers.py
@@ -93,8 +93,11 @@
         while True:
             while not self.callbacks.needs_watch():
                 await self.timers.pause(POLL_SECONDS)
+            # After an outage the first answer must not wait for a change: it
+            # tells whether the store was restored meanwhile.
+            wait_seconds = 0 if self.failures else WATCH_TIMEOUT_SECONDS
             result = await self.store.watch_kind(
-                self.callbacks.kind, self.position, WATCH_TIMEOUT_SECONDS
+                self.callbacks.kind, self.position, wait_seconds
             )
             if isinstance(result, Err):
                 failure = result.unwrap_err()
--- a/cranberryrelay/relay/tests/test_restored_store.py
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -16,6 +16,8 @@
 from trio.testing import MockClock
 
 from cranberryrelay.platform import UPSTREAM_KIND, TargetStore
+from cranberryrelay.relay._peer_protocol import PeerProtocol
+from cranberryrelay.relay._registration import INSTANCE_KIND, keep_registered
 from cranberryrelay.relay._store_replica import StoreReplica
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
 from cranberryrelay.relay.tests.test_store_replica import make_replica
@@ -209,6 +211,21 @@
     assert scene.replica.upstream_position == peer.upstream_position
 
 
+async def registration_that_the_copy_lacks(scene: Scene) -> None:
+    """Lose the record by which new instances find this one."""
+    copied = scene.store.copy()
+    network: Any = None
+    protocol = PeerProtocol(
+        scene.replica.state, scene.replica, network, scene.timers
+    )
+    start_watcher(scene, scene.replica, lambda: True)
+    scene.nursery.start_soon(keep_registered, scene.client, protocol)
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    assert (INSTANCE_KIND, protocol.name) in scene.store.records
+
+
 async def run_scene(scenario: Callable[[Scene], Awaitable[None]]) -> None:
     """Run a scenario against a new store."""
     async with open_scene() as scene:
@@ -230,3 +247,10 @@
         self, scenario: Callable[[Scene], Awaitable[None]]
     ) -> None:
         trio.run(run_scene, scenario, clock=MockClock(autojump_threshold=0))
+
+    # Records of this instance that the store acknowledged and lost.
+    @params(registration_that_the_copy_lacks)
+    def test_lost_records_are_written_again(
+        self, scenario: Callable[[Scene], Awaitable[None]]
+    ) -> None:
+        trio.run(run_scene, scenario, clock=MockClock(autojump_threshold=0))
