Write account segments again that a restored store has lost

'explain' answered 'unknown' for a request whose segment the store had acknowledged before it was restored from an older copy. Cause: an acknowledged segment was forgotten at once. For segments of instances that have ended 'explain' says that a restore may have lost them. Test: account_that_the_copy_lacks fails with the rewriting disabled (request unknown) and passes with it.

--- a/cranberryrelay/relay/_account_reader.py
+++ b/cranberryrelay/relay/_account_reader.py
@@ -36,8 +36,12 @@
     incarnation is missing or was changed, and those of the store.
     """
     listed = await store.list_kind(ACCOUNT_KIND)
-    return listed.and_then(
-        lambda listing: find_request(listing.records, request_id)
+    if isinstance(listed, Err):
+        return listed
+    listing = listed.unwrap()
+    found = find_request(listing.records, request_id)
+    return found.map_err(
+        lambda failure: _add_store_era(failure, listing.position.era)
     )
 
 
@@ -67,6 +71,17 @@
     return Err(fail(ResultCode.REQUEST_ID_UNKNOWN, detail))
 
 
+def _add_store_era(failure: Failure, era: int) -> Failure:
+    """Say that a restore may have lost the segment of an unknown request."""
+    if failure.code is not ResultCode.REQUEST_ID_UNKNOWN:
+        return failure
+    detail = (
+        f'{failure.detail}; the store is in era {era}, and each restore may '
+        'have lost the last segments of instances that had ended before it'
+    )
+    return failure._replace(detail=detail)
+
+
 def _decode_segment(value: Any) -> SegmentFields | None:
     try:
         return msgspec.convert(value, SegmentFields)
--- a/cranberryrelay/relay/_registration.py
+++ b/cranberryrelay/relay/_registration.py
@@ -58,7 +58,7 @@
     )
     era = registered_in.era
     async for _ in protocol.timers.subscribe(ERA_CHECK_SECONDS):
-        known_era = protocol.store_replica.upstream_position.era
+        known_era = protocol.store_replica.known_era()
         if known_era > era:
             instances = protocol.state.live_instances
             spread_seconds = instances / REGISTRATIONS_PER_SECOND
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -88,7 +88,11 @@
     ):
         tools = RelayContext(state, client, dependencies.dialect, timers)
         account = AccountWriter(
-            state, dependencies.store, timers, dependencies.incarnation
+            state,
+            dependencies.store,
+            timers,
+            dependencies.incarnation,
+            knowledge.known_era,
         )
         with _open_peers(state, knowledge, timers) as peers:
             duties = Duties(peers)
@@ -98,6 +102,7 @@
             nursery.start_soon(peers.run_heartbeats)
             nursery.start_soon(peers.send_requested_heartbeats)
             nursery.start_soon(account.run)
+            nursery.start_soon(account.keep_written)
             nursery.start_soon(_apply_settings, dependencies, state)
             nursery.start_soon(_make_role_controller(dependencies, duties).run)
             nursery.start_soon(
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -215,6 +215,10 @@
         """Advance the position up to which the upstreams are known."""
         self.upstream_position = max(self.upstream_position, position)
 
+    def known_era(self) -> int:
+        """Return the latest era of the store that this instance knows."""
+        return self.upstream_position.era
+
     def log_older_record(
         self, record: KindRecord, known_position: StorePosition, source: str
     ) -> None:
--- a/cranberryrelay/relay/tests/test_restored_store.py
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -16,11 +16,16 @@
 from trio.testing import MockClock
 
 from cranberryrelay.platform import UPSTREAM_KIND, TargetStore
+from cranberryrelay.relay import explain_request
+from cranberryrelay.relay._account_writer import AccountWriter
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._registration import INSTANCE_KIND, keep_registered
 from cranberryrelay.relay._store_replica import StoreReplica
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
-from cranberryrelay.relay.tests.test_store_replica import make_replica
+from cranberryrelay.relay.tests.test_store_replica import (
+    make_note,
+    make_replica,
+)
 from cranberryrelay.standins import TargetStoreStandIn, make_target_store_app
 from cranberryrelay.timing import TimerService, open_timer_service
 
@@ -226,6 +231,30 @@
     assert (INSTANCE_KIND, protocol.name) in scene.store.records
 
 
+async def account_that_the_copy_lacks(scene: Scene) -> None:
+    """Lose account segments that the store acknowledged."""
+    state = scene.replica.state
+    writer = AccountWriter(
+        state, scene.client, scene.timers, 'a', scene.replica.known_era
+    )
+    start_watcher(scene, scene.replica, lambda: True)
+    scene.nursery.start_soon(writer.keep_written)
+    state.account_buffer.add('r1', 3)
+    await writer.write()
+    copied = scene.store.copy()
+    for request_id in ('r2', 'r3'):
+        state.account_buffer.add(request_id, 4)
+        await writer.write()
+    await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    for request_id in ('r1', 'r2', 'r3'):
+        found = await explain_request(scene.client, request_id)
+        assert found.is_ok(), found
+    unknown = await explain_request(scene.client, 'r4')
+    assert 'era 2' in unknown.unwrap_err().detail
+
+
 async def run_scene(scenario: Callable[[Scene], Awaitable[None]]) -> None:
     """Run a scenario against a new store."""
     async with open_scene() as scene:
@@ -249,7 +278,10 @@
         trio.run(run_scene, scenario, clock=MockClock(autojump_threshold=0))
 
     # Records of this instance that the store acknowledged and lost.
-    @params(registration_that_the_copy_lacks)
+    @params(
+        registration_that_the_copy_lacks,
+        account_that_the_copy_lacks,
+    )
     def test_lost_records_are_written_again(
         self, scenario: Callable[[Scene], Awaitable[None]]
     ) -> None:
--- a/cranberryrelay/relay/tests/test_store_replica.py
+++ b/cranberryrelay/relay/tests/test_store_replica.py
@@ -272,7 +272,7 @@
     """Write two segments; the answers to the first one are lost."""
     async with open_timer_service() as timers:
         state = RelayState(make_settings())
-        writer = AccountWriter(state, store, _with_utc(timers), 'a')
+        writer = AccountWriter(state, store, _with_utc(timers), 'a', int)
         state.account_buffer.add('r1', 3)
         await writer.write()
         state.account_buffer.add('r2', 4)
