--- a/cranberryrelay/relay/tests/test_restored_store.py
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -16,8 +16,11 @@
 from trio.testing import MockClock
 
 from cranberryrelay.platform import UPSTREAM_KIND, TargetStore
-from cranberryrelay.relay import explain_request
+from cranberryrelay.relay import explain_request, read_archived_note
 from cranberryrelay.relay._account_writer import AccountWriter
+from cranberryrelay.relay._duties import Duties
+from cranberryrelay.relay._note_archive import NoteArchive
+from cranberryrelay.relay._peer_messages import NoteShare
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._registration import INSTANCE_KIND, keep_registered
 from cranberryrelay.relay._store_replica import StoreReplica
@@ -255,6 +258,26 @@
     assert 'era 2' in unknown.unwrap_err().detail
 
 
+async def notes_that_the_copy_lacks(scene: Scene) -> None:
+    """Lose archived release notes."""
+    copied = scene.store.copy()
+    network: Any = None
+    protocol = PeerProtocol(
+        scene.replica.state, scene.replica, network, scene.timers
+    )
+    archive = NoteArchive(scene.client, Duties(protocol), scene.timers)
+    start_watcher(scene, scene.replica, lambda: True)
+    scene.nursery.start_soon(archive.run)
+    for revision in (5, 9):
+        scene.replica.apply_note_share(NoteShare(make_note(revision)))
+        await trio.sleep(SETTLE_SECONDS)
+    scene.store.restore(copied)
+    await trio.sleep(SETTLE_SECONDS)
+    for revision in (5, 9):
+        note = await read_archived_note(scene.client, revision)
+        assert note.unwrap()['version'] == revision
+
+
 async def run_scene(scenario: Callable[[Scene], Awaitable[None]]) -> None:
     """Run a scenario against a new store."""
     async with open_scene() as scene:
@@ -281,6 +304,7 @@
     @params(
         registration_that_the_copy_lacks,
         account_that_the_copy_lacks,
+        notes_that_the_copy_lacks,
     )
     def test_lost_records_are_written_again(
         self, scenario: Callable[[Scene], Awaitable[None]]
