--- a/cranberryrelay/platform/_dialect.py
+++ b/cranberryrelay/platform/_dialect.py
@@ -24,6 +24,7 @@
 _TOKEN_COUNTS: Final = b'X-Cranberryrelay-Token-Count'
 _PROMPT_PARTS: Final = b'X-Cranberryrelay-Prompt-Prefix'
 _LAST_EVENT: Final = b'Last-Event-Id'
+_RESUMES: Final = b'Resumes'
 _EXPECT_INSTANCE: Final = b'X-Cranberryrelay-Expect-Instance'
 _PRIORITY: Final = b'X-Cranberryrelay-Request-Priority'
 _STAGE: Final = b'X-Cranberryrelay-Stage'
@@ -87,6 +88,7 @@
                 None if deadline is None else deadline / _MS_PER_SECOND
             ),
             last_event_number=_parse_number(arrival.headers, _LAST_EVENT),
+            resumed_request_id=_find_header(arrival.headers, _RESUMES),
             model_request=_parse_work(arrival.headers),
         )
 
--- a/cranberryrelay/platform/_record_decoding.py
+++ b/cranberryrelay/platform/_record_decoding.py
@@ -104,6 +104,8 @@
     stage: str = ''
     # Start time in Unix milliseconds; 0 if unknown.
     born: int = 0
+    # Version of the engine's software.
+    version: str | int | float = ''
     # Number of the report, rising since the start.
     sequence: int = 0
 
@@ -162,6 +164,7 @@
             leaving=entry.state == 'draining',
             role=_ROLES_BY_STAGE.get(entry.stage, Role.PLAIN),
             report_number=entry.sequence,
+            software_version=str(entry.version),
         )
     )
 
--- a/cranberryrelay/relay/_catalogue.py
+++ b/cranberryrelay/relay/_catalogue.py
@@ -200,6 +200,10 @@
     # upstream does not number them.
     report_number: int = 0
 
+    # Version of its software, not of the model's weights; '' if unknown.
+    # Versions have no order.
+    software_version: str = ''
+
     def incarnation_id(self) -> str:
         """Return an id that changes even if a restart keeps the name."""
         return f'{self.name}/{self.started_at_ms}'
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -86,6 +86,13 @@
     async def run(self) -> Result[BufferedReply | StreamReply, Failure]:
         """Return a stream, a buffered error response, or the failure."""
         outcome = await self.open_stream()
+        if self.admitted.request.last_event_number is not None:
+            self.log.write(
+                'stream taken up',
+                stream_id=self.admitted.request.stream_id(),
+                last_event=self.admitted.request.last_event_number,
+                ok=outcome.is_ok(),
+            )
         if isinstance(outcome, Err):
             return outcome
         response = outcome.unwrap()
--- a/cranberryrelay/relay/_request_log.py
+++ b/cranberryrelay/relay/_request_log.py
@@ -52,6 +52,7 @@
     def record_decode_engine(self, engine: Upstream) -> None:
         """Record the engine that generates."""
         self.decisions['generator'] = engine.name
+        self.decisions['software_version'] = engine.software_version
 
     def record_event(self, now: float) -> float | None:
         """Record an event; return the time to first event for the first."""
--- a/cranberryrelay/relay/_requests.py
+++ b/cranberryrelay/relay/_requests.py
@@ -80,6 +80,14 @@
     # What is requested of a model; None for a plain call.
     model_request: ModelRequest | None
 
+    # Request id of the caller's attempt that began the stream to resume; ''
+    # for a new stream.
+    resumed_request_id: str = ''
+
+    def stream_id(self) -> str:
+        """Return the request id of the attempt that began the stream."""
+        return self.resumed_request_id or self.request_id
+
 
 class KvSource(NamedTuple):
     """Where a decode engine fetches the KV cache of a prompt from."""
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -200,6 +200,7 @@
                 'leaving': upstream.leaving,
                 'address': upstream.address,
                 'report_number': upstream.report_number,
+                'software_version': upstream.software_version,
                 'source': source,
             },
         )
