Continue a stream only at the software version that began it

Cause: the relay didn't know that engines have a software version, and an instance at which a caller takes its stream up doesn't know where it began. Change: second runs and backups stay at the version that sent the first event. A stream taken up under 'Resumes' goes on at its version; one that nobody knows is refused as not run (3113) while versions differ.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -66,6 +66,7 @@
     LEDGER_UNAVAILABLE = 3110
     PROMPT_SUSPECT = 3111
     PROMPT_REFUSED = 3112
+    STREAM_VERSION_UNKNOWN = 3113
 
     UPSTREAM_FAILED = 4101
     UPSTREAM_TIMEOUT = 4102
@@ -286,6 +287,12 @@
             _NOT_RUN,
             _REFUSAL_SECONDS,
         ),
+        ResultCode.STREAM_VERSION_UNKNOWN: CodeEntry(
+            'which software version began the stream is not known here yet',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
         ResultCode.UPSTREAM_FAILED: CodeEntry(
             'the upstream failed', HTTPStatus.BAD_GATEWAY, _MAY_HAVE_RUN
         ),
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -83,9 +83,13 @@
         self.engine_event_count = 0
         self.last_event_number: int | None = admitted.request.last_event_number
 
+        # Software version that began the stream, at whose engines alone it may
+        # go on; None before it has begun.
+        self.version: str | None = None
+
     async def run(self) -> Result[BufferedReply | StreamReply, Failure]:
         """Return a stream, a buffered error response, or the failure."""
-        outcome = await self.open_stream()
+        outcome = await self.open_caller_stream()
         if self.admitted.request.last_event_number is not None:
             self.log.write(
                 'stream taken up',
@@ -105,6 +109,25 @@
             lambda content: BufferedReply(response.status, headers, content)
         )
 
+    async def open_caller_stream(self) -> Result[UpstreamResponse, Failure]:
+        """Begin a stream, or go on with one at the version that began it."""
+        found = self.context.state.stream_versions.find_version(
+            self.admitted.request, self.admitted.service
+        )
+        if isinstance(found, Err):
+            return found
+        self.version = found.unwrap()
+        return await self.open_stream()
+
+    def has_engine_of_version(self) -> bool:
+        """Return whether an engine that may continue the stream is known."""
+        engines = self.context.state.fleet.eligible(
+            self.admitted.service, Role.DECODE, self.context.timers.now()
+        )
+        return self.version is None or any(
+            engine.software_version == self.version for engine in engines
+        )
+
     async def open_stream(self) -> Result[UpstreamResponse, Failure]:
         """Run the prefill on one engine and start generation on another."""
         failure = fail(
@@ -112,6 +135,9 @@
             'no time left to send the request to an engine',
         )
         while self.remaining_seconds() > 0:
+            if not self.has_engine_of_version():
+                detail = f'no decode engine has software version {self.version}'
+                return Err(fail(ResultCode.NO_ENGINE, detail))
             cleared = await self.wait_for_clearance()
             if isinstance(cleared, Err):
                 return cleared
@@ -175,6 +201,7 @@
             near,
             self.excluded,
             self.context.timers.now(),
+            self.version,
         )
 
     async def start_generation(
@@ -240,6 +267,7 @@
             engine.domain,
             self.excluded | {engine.name},
             self.context.timers.now(),
+            engine.software_version,
         )
 
     def make_call(self, engine: Upstream) -> UpstreamCall:
@@ -365,7 +393,13 @@
 
     def record_event(self, event: Event) -> None:
         """Record the time and number of an event that was received."""
-        first_seconds = self.log.record_event(self.context.timers.now())
+        now = self.context.timers.now()
+        first_seconds = self.log.record_event(now)
+        if self.version is None and self.engine is not None:
+            self.version = self.engine.software_version
+            self.context.state.stream_versions.record_begun(
+                self.admitted.request.stream_id(), self.engine, now
+            )
         self.engine_event_count += 1
         if self.engine_event_count == PROOF_EVENTS:
             self.gate.record_proven()
--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -11,6 +11,7 @@
 from cranberryrelay.relay._membership import Membership
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
+from cranberryrelay.relay._stream_versions import StreamSummary
 from cranberryrelay.timing import TimerService
 
 
@@ -49,6 +50,16 @@
             state.rate_limits.take_news(),
         )
 
+    def queue_begun_streams(self) -> None:
+        """Queue streams for the next heartbeat if several versions serve."""
+        state = self.peers.state
+        now = self.peers.timers.now()
+        versions = state.stream_versions
+        versions.observe(state.fleet.upstreams.values(), now)
+        state.peer_update.begun_streams.extend(
+            versions.take_announcements(state.live_instances, now)
+        )
+
     def send_summary(self, name: str) -> None:
         """Tell an instance that has just started all that is known."""
         state = self.peers.state
@@ -58,6 +69,9 @@
             state.crash_suspects.summarize(now),
             state.rate_limits.summarize(),
         )
+        streams = state.stream_versions.summarize()
+        if streams:
+            self.peers.send(name, StreamSummary(streams))
 
     def handle_suspect_news(self, sender: str, news: SuspectNews) -> None:
         """Apply and forward a peer's news on suspect segments."""
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -9,6 +9,7 @@
 from cranberryrelay.relay._peer_update import PeerUpdate
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._records import StorePosition
+from cranberryrelay.relay._stream_versions import StreamSummary
 
 
 class Hello(NamedTuple):
@@ -116,4 +117,5 @@
     Farewell,
     SuspectNews,
     LimitNews,
+    StreamSummary,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -28,6 +28,7 @@
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._stream_versions import StreamSummary
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
 
@@ -181,6 +182,7 @@
             if self.membership.leaving:
                 return
             self.news_exchange.send_news()
+            self.news_exchange.queue_begun_streams()
             if self.is_heartbeat_due(now):
                 self.send_heartbeat(now)
             if self.membership.uses_hubs:
@@ -416,6 +418,13 @@
     protocol.news_exchange.handle_limit_news(sender, message)
 
 
+@dispatch_message.register
+def _(message: StreamSummary, protocol: PeerProtocol, sender: str) -> None:
+    protocol.state.stream_versions.apply_announced(
+        message.streams, protocol.timers.now()
+    )
+
+
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
     protocol.membership.remove(sender)
--- a/cranberryrelay/relay/_peer_update.py
+++ b/cranberryrelay/relay/_peer_update.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._prefix_index import CachedSegment
+from cranberryrelay.relay._stream_versions import AnnouncedStreams
 
 # Most failures of an upstream that one heartbeat reports.
 FAILURES_LIMIT: Final = 4
@@ -23,9 +24,13 @@
     # Upstreams that answer again.
     recovered: list[str]
 
+    # Streams that engines have begun, if several software versions serve.
+    begun_streams: list[AnnouncedStreams]
+
     def merge(self, other: 'PeerUpdate') -> None:
         """Add the entries of another peer update."""
         self.cached_parts.extend(other.cached_parts)
+        self.begun_streams.extend(other.begun_streams)
         _append_missing(self.unreachable, other.unreachable)
         _append_missing(self.recovered, other.recovered)
         for name in other.failed:
@@ -43,7 +48,7 @@
 
 def make_peer_update() -> PeerUpdate:
     """Return an empty peer update."""
-    return PeerUpdate([], [], [], [])
+    return PeerUpdate([], [], [], [], [])
 
 
 def _append_missing(known: list[str], names: list[str]) -> None:
--- a/cranberryrelay/relay/_placement.py
+++ b/cranberryrelay/relay/_placement.py
@@ -224,12 +224,18 @@
     preferred_domain: str,
     excluded: frozenset[str],
     now: float,
+    version: str | None = None,
 ) -> Upstream | None:
     """Choose the decode engine with the lowest cost; None if there is none.
 
-    ``preferred_domain`` is the failure domain to stay in.
+    ``preferred_domain`` is the failure domain to stay in, ``version`` the only
+    allowed software version; None allows all.
     """
-    engines = _eligible(context, service, Role.DECODE, excluded, now)
+    engines = [
+        engine
+        for engine in _eligible(context, service, Role.DECODE, excluded, now)
+        if version in {None, engine.software_version}
+    ]
     costs = [
         _decode_cost(context, engine, preferred_domain, now)
         for engine in engines
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -28,6 +28,7 @@
 from cranberryrelay.relay._requests import PromptSegment
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._settings import InstanceSettings
+from cranberryrelay.relay._stream_versions import StreamVersions
 from cranberryrelay.relay._telemetry import RelayTelemetry
 
 # Idle timeout of client connections while no release note is known.
@@ -77,6 +78,7 @@
         self.admission_queue = AdmissionQueue()
         self.crash_suspects = CrashSuspects()
         self.rate_limits = RateLimits(settings.name)
+        self.stream_versions = StreamVersions()
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -236,6 +238,7 @@
         """Apply what a peer reports about upstreams."""
         for segment in update.cached_parts:
             self.record_cached_segment(segment)
+        self.stream_versions.apply_announced(update.begun_streams, now)
         for name in update.unreachable:
             self.record_gone(self.fleet.upstreams.get(name))
             if not self.fleet.is_in_backoff(name, now):
--- a/cranberryrelay/relay/tests/test_peer_updates.py
+++ b/cranberryrelay/relay/tests/test_peer_updates.py
@@ -98,12 +98,14 @@
         self.assertTrue(peer.fleet.is_in_backoff('e', NOW))
         reporter.peer_update = make_peer_update()
         reporter.record_success('e', NOW + 0.2)
-        self.assertEqual(reporter.peer_update, PeerUpdate([], [], [], ['e']))
+        self.assertEqual(
+            reporter.peer_update, PeerUpdate([], [], [], ['e'], [])
+        )
         peer.apply_peer_update(reporter.peer_update, NOW + 0.2)
         self.assertFalse(peer.fleet.is_in_backoff('e', NOW + 0.2))
 
     def test_peers_do_not_probe_all_at_once(self) -> None:
-        update = PeerUpdate([], ['e'], [], [])
+        update = PeerUpdate([], ['e'], [], [], [])
         backoffs = []
         for _ in range(30):
             peer = make_state('e')
