Plan the roles of engines for each software version

Cause: roles were planned for a service as if its engines were alike. Change: each version of a service is planned by itself. Test: test_each_version_has_decode_engines fails before (no change planned) and passes now; 22 tests of versions and planner pass.

--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -87,19 +87,24 @@
             await self.order_if_idle(change, acquired.unwrap())
 
     def plan_changes(self, now: float) -> list[RoleChange]:
-        """Return the planned role changes of all services."""
+        """Return the planned role changes of all services.
+
+        Each software version of a service is planned by itself, as a stream
+        can go on only at a decode engine of the version that began it.
+        """
         self.sent_orders = {
             name: sent
             for name, sent in self.sent_orders.items()
             if now - sent.sent_at < ROLE_CHANGE_COOLDOWN_SECONDS
         }
         ordered = {name: sent.role for name, sent in self.sent_orders.items()}
-        by_service: dict[str, list[Upstream]] = {}
+        by_version: dict[tuple[str, str], list[Upstream]] = {}
         for upstream in self.state.fleet.upstreams.values():
             if upstream.role is not Role.PLAIN:
-                by_service.setdefault(upstream.service, []).append(upstream)
+                key = (upstream.service, upstream.software_version)
+                by_version.setdefault(key, []).append(upstream)
         changes: list[RoleChange] = []
-        for upstreams in by_service.values():
+        for upstreams in by_version.values():
             running = {
                 one.name: self.state.backlog.running_requests(one.name, now)
                 for one in upstreams
--- a/cranberryrelay/relay/tests/test_software_versions.py
+++ b/cranberryrelay/relay/tests/test_software_versions.py
@@ -5,7 +5,8 @@
 """
 
 from contextlib import AsyncExitStack, suppress
-from typing import NamedTuple
+from types import SimpleNamespace
+from typing import Any, NamedTuple
 from unittest import TestCase
 
 import httpx
@@ -22,6 +23,7 @@
     StreamReply,
 )
 from cranberryrelay.relay._model_path import ModelRun
+from cranberryrelay.relay._role_controller import RoleController
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import (
     make_arrival,
@@ -269,6 +271,26 @@
         self.assertEqual(engines.calls, [])
 
 
+class RolePlanTest(TestCase):
+    """Roles while several versions serve."""
+
+    # A version without a decode engine, at which none of its streams can go on.
+    def test_each_version_has_decode_engines(self) -> None:
+        state = RelayState(make_settings())
+        for idx, role in enumerate((Role.DECODE, Role.DECODE, Role.PREFILL)):
+            state.apply_upstream(make_engine(f'o{idx}', 'old', role), 'test')
+        for idx in range(3):
+            engine = make_engine(f'n{idx}', 'other', Role.PREFILL)
+            state.apply_upstream(engine, 'test')
+        unused: Any = SimpleNamespace(protocol=None)
+        controller = RoleController(state, unused, unused, unused, unused)
+        changes = controller.plan_changes(0)
+        self.assertEqual(
+            sorted((change.engine[0], change.role) for change in changes),
+            [('n', Role.DECODE), ('o', Role.PREFILL)],
+        )
+
+
 class AnnouncementTest(TestCase):
     """Which streams the instances tell each other of."""
 
