Serve from a new instance only under the note in force

An instance that starts between the restore of the store and the operator's next write reads an older note, and served requests under it (a 404 for a route that had been added) until the running instances repaired it, about 0.3 s. Cause: the store's answer was taken for the newest note, though the running instances may know a newer one. Change: a new instance is ready, and admits requests, once a running instance has told its revision and that note is in force here, or after 1 s without an answer; instances that wait say so (revision -1 in their heartbeats). A hello is answered with a heartbeat at once. Test: test_new_instance_serves_only_the_note_in_force fails with the check disabled (revisions 7 and 9 are served) and passes with it; a table of the cases.

--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -124,6 +124,7 @@
         if hello.answer:
             self.send_hello(sender, hello.location.address, answer=False)
             self.news_exchange.send_summary(sender)
+            self.state.request_heartbeat()
         for name in self.add_peers(hello.known):
             self.send_hello(name, hello.known[name].address)
         self.update_live_instances()
@@ -133,6 +134,7 @@
         if sender not in self.membership.peers:
             return
         now = self.timers.now()
+        self.state.start_check.record_peer(heartbeat.revision)
         self.state.backlog.apply_report(sender, heartbeat.loads, now)
         self.state.apply_peer_update(heartbeat.update, now)
         self.membership.record_load_beat(sender)
@@ -148,6 +150,7 @@
         if sender not in self.membership.peers:
             return
         now = self.timers.now()
+        self.state.start_check.record_peer(heartbeat.revision)
         self.state.backlog.apply_report(sender, heartbeat.loads, now)
         self.state.apply_peer_update(heartbeat.update, now)
         if self.membership.in_own_domain(sender):
@@ -181,6 +184,7 @@
             self.update_live_instances()
             if self.membership.leaving:
                 return
+            self.state.start_check.update(self.state.revision(), now)
             self.news_exchange.send_news()
             self.news_exchange.queue_begun_streams()
             if self.is_heartbeat_due(now):
@@ -229,7 +233,7 @@
         heartbeat = LoadBeat(
             loads=state.backlog.own_loads(now),
             update=update,
-            revision=self.state.revision(),
+            revision=self.state.start_check.confirmed(self.state.revision()),
             upstream_position=self.store_replica.upstream_position,
         )
         state.peer_update = make_peer_update()
@@ -283,7 +287,7 @@
         heartbeat = GroupBeat(
             loads={},
             update=group_hub.take_member_update(),
-            revision=self.state.revision(),
+            revision=self.state.start_check.confirmed(self.state.revision()),
             upstream_position=self.store_replica.upstream_position,
             instances=self.state.live_instances,
             store_reachable=self.state.is_store_reachable()
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -62,11 +62,11 @@
         ``BODY_TOO_LARGE``, ``REQUEST_MALFORMED``.
         """
         state = self.context.state
-        if state.table is None:
+        if state.table is None or not state.start_check.passed:
             return Err(
                 fail(
                     ResultCode.NOT_READY,
-                    'this instance has not received a release note yet',
+                    'this instance does not know the note in force yet',
                 )
             )
         route = state.table.find(request.host, request.path)
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -80,6 +80,7 @@
 ) -> None:
     """Serve callers until ``stop`` is set, then finish running requests."""
     state = RelayState(dependencies.settings)
+    state.start_check.begin()
     knowledge = StoreReplica(state, dependencies.decoders)
     async with (
         open_timer_service() as timers,
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -28,6 +28,7 @@
 from cranberryrelay.relay._requests import PromptSegment
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._settings import InstanceSettings
+from cranberryrelay.relay._start_check import StartCheck
 from cranberryrelay.relay._stream_versions import StreamVersions
 from cranberryrelay.relay._telemetry import RelayTelemetry
 
@@ -79,6 +80,7 @@
         self.crash_suspects = CrashSuspects()
         self.rate_limits = RateLimits(settings.name)
         self.stream_versions = StreamVersions()
+        self.start_check = StartCheck()
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -150,7 +152,7 @@
     def is_ready(self) -> bool:
         """Return whether the instance accepts new requests."""
         known = self.table is not None and self.upstreams_listed
-        return known and not self.draining
+        return known and self.start_check.passed and not self.draining
 
     def record_store_contact(self, kind: str, reachable: bool) -> None:
         """Record whether the store answered the last call for a kind."""
--- /dev/null
+++ b/cranberryrelay/relay/tests/test_start_check.py
@@ -0,0 +1,94 @@
+"""An instance that has just started serves under the note in force.
+
+Guards against an older note that a restored store holds until the operator
+writes the newer one again.
+"""
+
+from typing import NamedTuple
+from unittest import TestCase
+
+import trio
+from nose2.tools import params
+from trio.testing import MockClock
+
+from cranberryrelay.relay import KindListing
+from cranberryrelay.relay._peer_messages import NoteShare
+from cranberryrelay.relay._start_check import NO_REVISION, StartCheck
+from cranberryrelay.relay.tests.fixtures import at
+from cranberryrelay.relay.tests.test_group_talk import FakeNetwork, Fleet
+from cranberryrelay.relay.tests.test_store_replica import (
+    make_note,
+    make_upstream_record,
+)
+from cranberryrelay.timing import open_timer_service
+
+NOTE_IN_FORCE = 9
+RESTORED_NOTE = 7
+RUNNING = ('front-a-0', 'front-b-0', 'front-c-0')
+
+
+class Case(NamedTuple):
+    """Revisions heard from peers, and whether the check passes by a time."""
+
+    name: str
+    peer_revisions: tuple[int, ...]
+    own_revision: int
+    waited_seconds: float
+    passed: bool
+
+
+CASES = (
+    Case('no note yet', (9,), NO_REVISION, 2, False),
+    Case('no answer yet', (), 7, 0.5, False),
+    Case('nobody answers', (), 7, 1, True),
+    Case('only peers that have just started', (NO_REVISION,), 7, 0.5, False),
+    Case('a peer has the same note', (7,), 7, 0.1, True),
+    Case('a peer has an older note', (5,), 7, 0.1, True),
+    Case('a peer has a newer note', (7, 9), 7, 0.5, False),
+    Case('the newer note arrived', (7, 9), 9, 0.1, True),
+)
+
+
+class StartCheckTest(TestCase):
+    """Answers of peers, in time and missing."""
+
+    @params(*((case,) for case in CASES))
+    def test_waits_for_the_note_in_force(self, case: Case) -> None:
+        check = StartCheck()
+        check.begin()
+        check.update(case.own_revision, 0)
+        for revision in case.peer_revisions:
+            check.record_peer(revision)
+        check.update(case.own_revision, case.waited_seconds)
+        self.assertEqual(check.passed, case.passed)
+
+    # Requests that a new instance admits under an older note.
+    def test_new_instance_serves_only_the_note_in_force(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        served = trio.run(collect_served_revisions, clock=clock)
+        self.assertEqual(served, {NOTE_IN_FORCE})
+
+
+async def collect_served_revisions() -> set[int]:
+    """Return the revisions under which a new instance is ready."""
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        fleet = Fleet(FakeNetwork(), nursery)
+        for name in RUNNING:
+            await fleet.start(name, timers)
+            note = NoteShare(make_note(NOTE_IN_FORCE))
+            fleet.protocols[name].store_replica.apply_note_share(note)
+        await trio.sleep(2)
+        await fleet.start('front-a-1', timers)
+        newcomer = fleet.protocols['front-a-1']
+        newcomer.state.start_check.begin()
+        replica = newcomer.store_replica
+        replica.apply_note_share(NoteShare(make_note(RESTORED_NOTE)))
+        listing = KindListing((make_upstream_record('i-1', 10),), at(10))
+        replica.apply_upstream_listing(listing)
+        served: set[int] = set()
+        for _ in range(200):
+            if newcomer.state.is_ready():
+                served.add(newcomer.state.revision())
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    return served
