--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -11,6 +11,7 @@
 from cranberryrelay.relay._catalogue import RequestKind, Role, Upstream
 from cranberryrelay.relay._context import BufferedReply
 from cranberryrelay.relay._placement import choose_plain_upstream
+from cranberryrelay.relay._request_digest import digest_request
 from cranberryrelay.relay._requests import UpstreamCall
 from cranberryrelay.relay._upstream_call import read_body
 
@@ -131,6 +132,7 @@
             extra={
                 'request_id': self.admitted.request.request_id,
                 'upstream': upstream.name,
+                'request_digest': digest_request(self.admitted.request),
                 'code': failure.code.value,
                 'detail': failure.detail,
             },
--- a/cranberryrelay/relay/_request_log.py
+++ b/cranberryrelay/relay/_request_log.py
@@ -8,6 +8,7 @@
 from cranberryrelay.relay._catalogue import Upstream
 from cranberryrelay.relay._context import AdmittedRequest
 from cranberryrelay.relay._placement import Candidate
+from cranberryrelay.relay._request_digest import digest_request
 
 _DIGITS: Final = 4
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
@@ -101,6 +102,7 @@
                 'upstream': engine,
                 'events': self.event_count,
                 'segments': [segment.digest for segment in segments],
+                'request_digest': digest_request(self.admitted.request),
                 'code': failure.code.value,
                 'detail': failure.detail,
             },
