Hold back whole requests that crash upstreams, on plain services too

What callers saw: in each wave all engines of a plain service ended within a second, all calls running there ended as 502, and nothing was served until new engines were up.

Cause: only segments of prompts could be suspects. A call of a plain service has none, so an engine's crash taught nothing, and the next attempt (a new id, the same method, path and body) ended the next two engines.

Change: the digest of a request is a suspect like a segment, for plain services and for model requests. What keeps sound requests from being refused: a crash counts only for a run sent after the crash before, and whoever had an answer across a reported crash refutes it.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -64,8 +64,8 @@
     SUSPECT_REFUSED = 3108
     RETRY_BUDGET_SPENT = 3109
     LEDGER_UNAVAILABLE = 3110
-    PROMPT_SUSPECT = 3111
-    PROMPT_REFUSED = 3112
+    CRASH_SUSPECT = 3111
+    CRASH_REFUSED = 3112
     STREAM_VERSION_UNKNOWN = 3113
 
     UPSTREAM_FAILED = 4101
@@ -275,14 +275,14 @@
             _NOT_RUN,
             5,
         ),
-        ResultCode.PROMPT_SUSPECT: CodeEntry(
-            'a segment of the prompt may have crashed an engine',
+        ResultCode.CRASH_SUSPECT: CodeEntry(
+            'the request or a part of its prompt may have crashed an upstream',
             HTTPStatus.SERVICE_UNAVAILABLE,
             _NOT_RUN,
             3,
         ),
-        ResultCode.PROMPT_REFUSED: CodeEntry(
-            'a segment of the prompt crashed engines',
+        ResultCode.CRASH_REFUSED: CodeEntry(
+            'the request or a part of its prompt crashed upstreams',
             HTTPStatus.SERVICE_UNAVAILABLE,
             _NOT_RUN,
             _REFUSAL_SECONDS,
--- a/cranberryrelay/policy/_suspects.py
+++ b/cranberryrelay/policy/_suspects.py
@@ -23,6 +23,9 @@
     # Time at which the record expires, in seconds on the local clock.
     expires_at: float
 
+    # Time of the last crash, in seconds on the local clock.
+    last_crash_at: float
+
 
 class SuspectCrash(NamedTuple):
     """Reports to other instances that a request ran on a crashed engine."""
@@ -57,11 +60,12 @@
         expires_at = now + SUSPECT_TTL_SECONDS
         self.expiry_by_crash[counted] = expires_at
         previous = self._find_valid(crash.fingerprint, now)
-        record = SuspectRecord(frozenset((crash.crash,)), expires_at)
+        record = SuspectRecord(frozenset((crash.crash,)), expires_at, now)
         if previous is not None:
             record = SuspectRecord(
                 record.crashes | previous.crashes,
                 max(expires_at, previous.expires_at),
+                max(now, previous.last_crash_at),
             )
         self.records[crash.fingerprint] = record
         return True
@@ -83,6 +87,25 @@
             if record.expires_at > now
         }
 
+    def last_crash_at(self, fingerprint: str, now: float) -> float:
+        """Return the time of a request's last crash; -inf if it has none."""
+        record = self._find_valid(fingerprint, now)
+        return record.last_crash_at if record else float('-inf')
+
+    def retract(self, crash: str) -> None:
+        """Remove a crash that did not happen from all records."""
+        for fingerprint, record in list(self.records.items()):
+            crashes = record.crashes - {crash}
+            if not crashes:
+                self.records.pop(fingerprint)
+            elif crashes != record.crashes:
+                self.records[fingerprint] = record._replace(crashes=crashes)
+        self.expiry_by_crash = {
+            counted: expires_at
+            for counted, expires_at in self.expiry_by_crash.items()
+            if counted[1] != crash
+        }
+
     def clear(self, fingerprint: str) -> None:
         """Remove the record of a request that was answered completely."""
         self.records.pop(fingerprint, None)
--- a/cranberryrelay/relay/_clearance.py
+++ b/cranberryrelay/relay/_clearance.py
@@ -1,4 +1,4 @@
-"""Holds back requests whose prompt may crash the engine that answers it."""
+"""Holds back requests that may crash the upstream that runs them."""
 
 from typing import Final
 
@@ -13,53 +13,61 @@
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
 from cranberryrelay.relay._crash_suspects import TRIAL_SECONDS, Clearance
 from cranberryrelay.relay._hashing import hash_to_unit_interval
+from cranberryrelay.relay._request_digest import digest_request
 
-# Time that a broken run waits to learn whether its engine has crashed. Other
-# requests find a crashed engine unreachable well within it.
+# Time that a broken run waits to learn whether its upstream has crashed, unless
+# a probe tells.
 CONFIRMATION_SECONDS: Final = 0.3
 
 # Trials are delayed by up to this time, by request, so that instances that wait
 # for the same engine learn of each other's trials.
 TRIAL_JITTER_SECONDS: Final = 0.3
 
-# Decode engines that must be available for a trial, so that a crash leaves some
-# to serve the other requests.
+# Upstreams that must be available for a trial, so that a crash leaves some to
+# serve the other requests.
 TRIAL_ENGINES: Final = 2
 
-# A service with a single decode engine runs a trial only this long after a
-# crash, as the entry of a second engine that has crashed may be missing.
+# A service with a single upstream runs a trial only this long after a crash, as
+# the entry of a second upstream that has crashed may be missing.
 LONE_ENGINE_PAUSE_SECONDS: Final = 5.0
 
 
 class ClearanceGate:
-    """Decides when one request may be sent to engines."""
+    """Decides when one request may be sent to upstreams of a role."""
 
     def __init__(
-        self, context: RelayContext, admitted: AdmittedRequest
+        self, context: RelayContext, admitted: AdmittedRequest, role: Role
     ) -> None:
         self.context = context
         self.admitted = admitted
+        self.role = role
         self.suspects = context.state.crash_suspects
         model_request = admitted.request.model_request
         segments = model_request.shared_segments() if model_request else ()
-        self.digests = frozenset(segment.digest for segment in segments)
+        self.digests = frozenset(
+            (
+                digest_request(admitted.request),
+                *(segment.digest for segment in segments),
+            )
+        )
 
-        # Suspect segments of the trial that this request is, until its end.
+        # Suspects of the trial that this request is, until its end.
         self.own_trial: frozenset[str] = frozenset()
         self.own_trial_until = float('-inf')
 
         # Start of the trial, once nothing else is in its way.
         self.trial_starts_at: float | None = None
 
-        # Time until which to wait for word on an engine that broke a run off.
+        # Time until which to wait for word on an upstream that broke a run off.
         self.unconfirmed_until = float('-inf')
-        self.interrupted_by = ''
+        self.interrupted_by: Upstream | None = None
 
     async def wait(self) -> Result[None, Failure]:
         """Wait until the request may be sent.
 
-        Errors: ``PROMPT_REFUSED``, ``PROMPT_SUSPECT`` if the wait was too long.
+        Errors: ``CRASH_REFUSED``, ``CRASH_SUSPECT`` if the wait was too long.
         """
+        await self.confirm_crash()
         now = self.context.timers.now()
         remaining = self.admitted.remaining_seconds(now)
         wait_until = now + remaining * QUEUED_TIME_SHARE
@@ -67,24 +75,46 @@
             failure = self.find_obstacle(now)
             if failure is None:
                 return Ok(None)
-            if failure.code is ResultCode.PROMPT_REFUSED or now >= wait_until:
+            if failure.code is ResultCode.CRASH_REFUSED or now >= wait_until:
                 return Err(failure)
             await self.context.timers.pause(RECHECK_SECONDS)
             now = self.context.timers.now()
 
-    def record_interrupted(self, engine: Upstream) -> None:
-        """Record that an engine broke the run off at its start."""
+    def record_interrupted(self, engine: Upstream, sent_at: float) -> None:
+        """Record that an upstream broke the run off at its start."""
         now = self.context.timers.now()
         if self.suspects.unproven_among(self.digests, now):
-            self.interrupted_by = engine.incarnation_id()
+            self.interrupted_by = engine
             self.unconfirmed_until = now + CONFIRMATION_SECONDS
             self.suspects.record_interrupted(
-                self.interrupted_by, self.digests, now
+                engine.incarnation_id(), self.digests, now, sent_at
             )
             self.context.state.announce_news()
 
+    async def confirm_crash(self) -> None:
+        """Learn whether the upstream that broke the run off has ended."""
+        engine = self.interrupted_by
+        probe = self.context.probe
+        if engine is None or probe is None:
+            return
+        if self.suspects.is_gone(engine.incarnation_id()):
+            return
+        accepted = await probe(engine.address)
+        if accepted is None:
+            return
+        if accepted:
+            self.interrupted_by = None
+            return
+        failure = fail(
+            ResultCode.UPSTREAM_UNREACHABLE,
+            f'{engine.name}: refused a connection after it broke a run off',
+        )
+        self.context.state.record_failure(
+            engine.name, failure, self.context.timers.now()
+        )
+
     def record_proven(self) -> None:
-        """Record that an engine has survived the start of the answer."""
+        """Record that an upstream has survived the start of the answer."""
         self.suspects.prove(self.digests, self.context.timers.now())
         self.context.state.announce_news()
 
@@ -94,18 +124,21 @@
         suspects = self.suspects.suspects_among(self.digests, now)
         names = ', '.join(sorted(suspects))
         if clearance is Clearance.REFUSED:
-            detail = f'engines crashed on prompts with segments {names}'
-            return fail(ResultCode.PROMPT_REFUSED, detail)
+            detail = f'upstreams crashed on requests with {names}'
+            return fail(ResultCode.CRASH_REFUSED, detail)
         if clearance is Clearance.TRIAL_ONLY and not self.in_trial(
             suspects, now
         ):
-            detail = f'segments {names} wait for a trial after a crash'
-            return fail(ResultCode.PROMPT_SUSPECT, detail)
-        if now < self.unconfirmed_until and not self.suspects.is_gone(
-            self.interrupted_by
+            detail = f'requests with {names} wait for a trial after a crash'
+            return fail(ResultCode.CRASH_SUSPECT, detail)
+        engine = self.interrupted_by
+        if (
+            engine is not None
+            and now < self.unconfirmed_until
+            and not self.suspects.is_gone(engine.incarnation_id())
         ):
-            detail = f'{self.interrupted_by} broke the run off; it may be down'
-            return fail(ResultCode.PROMPT_SUSPECT, detail)
+            detail = f'{engine.name} broke the run off; it may be down'
+            return fail(ResultCode.CRASH_SUSPECT, detail)
         return None
 
     def in_trial(self, suspects: frozenset[str], now: float) -> bool:
@@ -132,7 +165,7 @@
             return False
         fleet = self.context.state.fleet
         service = self.admitted.service
-        engines = fleet.eligible(service, Role.DECODE, now)
+        engines = fleet.eligible(service, self.role, now)
         if len(engines) < TRIAL_ENGINES:
             since_crash = now - self.suspects.last_crash_at
             return since_crash > LONE_ENGINE_PAUSE_SECONDS
--- a/cranberryrelay/relay/_context.py
+++ b/cranberryrelay/relay/_context.py
@@ -7,6 +7,7 @@
 import httpx
 
 from cranberryrelay.relay._catalogue import Route
+from cranberryrelay.relay._connection_probe import ConnectionProbe
 from cranberryrelay.relay._requests import Dialect, IncomingRequest, RawHeaders
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.timing import TimerService
@@ -27,6 +28,10 @@
     # Clock and timers.
     timers: TimerService
 
+    # Tells a process that has ended from a connection that has; None to learn
+    # it only from other requests.
+    probe: ConnectionProbe | None = None
+
 
 class AdmittedRequest(NamedTuple):
     """A request with its route, pinned to a revision of the release note."""
--- a/cranberryrelay/relay/_crash_suspects.py
+++ b/cranberryrelay/relay/_crash_suspects.py
@@ -1,10 +1,16 @@
-"""Finds the prompt segments that crash engines, from what all instances see.
-
-An engine that crashes on a segment does so before it sends more than one event
-of the answer.  The segments of all runs that it had begun and broke off at that
-point are therefore suspects, except those with which a run has got further on
-any engine.  A suspect may run once at a time in the whole fleet, as a trial;
-after a second crash, requests with it are refused.
+"""Finds the requests that crash upstreams, from what all instances see.
+
+What identifies a suspect is a digest: of a request as a whole, or of a segment
+of a prompt.  An engine that crashes on a segment does so before it sends more
+than one event of the answer.  The digests of all runs that an upstream had
+begun and broke off are therefore suspects, except those with which a run has
+got further on any upstream.  A suspect may run once at a time in the whole
+fleet, as a trial; after a crash of a run that was sent later than the crash
+before, requests with it are refused.  Upstreams that end together, as when a
+failure domain is lost, thus count as one crash.
+
+A run also breaks off when only the connection is lost.  An instance to which
+the upstream goes on answering then refutes the crash.
 """
 
 import logging
@@ -14,7 +20,6 @@
 from typing import Final, NamedTuple
 
 from cranberryrelay.policy import (
-    SUSPECT_TTL_SECONDS,
     SuspectCrash,
     SuspectRegistry,
 )
@@ -26,14 +31,22 @@
 # crashed on it.  Its entry in the store is removed after three heartbeats.
 CONFIRMATION_WINDOW_SECONDS: Final = 5.0
 
-# A segment that has run within this time is not a suspect.
+# An upstream that answers without a longer gap has not restarted in between.
+RESTART_GAP_SECONDS: Final = 1.0
+
+# An answer counts as later than a crash only by more than this, as it may have
+# been on its way.
+ANSWER_TRANSIT_SECONDS: Final = 0.1
+
+# A digest with which a run succeeded within this time is not a suspect.
 PROOF_TTL_SECONDS: Final = 300.0
 PROOFS_LIMIT: Final = 8192
 
 # Engines that are remembered as gone.
 GONE_LIMIT: Final = 256
 
-# Longest time that the prefill and the start of the answer of a trial take.
+# Longest time that a trial takes: the prefill and the start of the answer, or a
+# call of a plain service.
 TRIAL_SECONDS: Final = 2.0
 
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
@@ -50,42 +63,51 @@
     REFUSED = auto()
 
 
-class SegmentCrash(NamedTuple):
-    """A crash of an engine during which a prompt segment was running."""
+class CrashReport(NamedTuple):
+    """A crash of an upstream during which a suspect was running."""
 
-    # Digest of the segment.
+    # Digest of the suspect.
     digest: str
 
-    # Id of the crash: the engine's incarnation.
+    # Id of the crash: the upstream's incarnation.
     engine: str
 
     # Time since the crash, in seconds.
     age_seconds: float
 
+    # Time since the run was sent, in seconds.
+    sent_age_seconds: float
+
 
 class SuspectNews(NamedTuple):
-    """What an instance tells the others about suspect segments."""
+    """What an instance tells the others about suspects."""
 
     # Crashes that were not known before.
-    crashes: list[SegmentCrash]
+    crashes: list[CrashReport]
 
-    # Digests of suspect segments that have run without a crash.
+    # Digests of suspects that have run without a crash.
     proven: list[str]
 
-    # Digests of suspect segments of which a trial begins.
+    # Digests of suspects of which a trial begins.
     trials: list[str]
 
+    # Incarnations that went on answering after their reported crash.
+    refuted: list[str]
+
     def is_empty(self) -> bool:
         """Return whether there is nothing to tell."""
         return not any(self)
 
 
 class InterruptedRun(NamedTuple):
-    """A run that an engine broke off before it had proven its segments."""
+    """A run that an upstream broke off before it had proven its digests."""
 
-    # Digests of the segments that may have been the cause.
+    # Digests of what may have been the cause.
     digests: frozenset[str]
 
+    # Time at which it was sent, in seconds on the local clock.
+    sent_at: float
+
     # Time at which it broke off, in seconds on the local clock.
     interrupted_at: float
 
@@ -93,18 +115,31 @@
 class EngineCrash(NamedTuple):
     """A crash that the other instances have not been told of."""
 
-    # Digest of the suspect segment.
+    # Digest of the suspect.
     digest: str
 
-    # Id of the crash: the engine's incarnation.
+    # Id of the crash: the upstream's incarnation.
     engine: str
 
     # Time of the crash, in seconds on the local clock.
     crashed_at: float
 
+    # Time at which the run was sent, in seconds on the local clock.
+    sent_at: float
+
+
+class AnswerSeries(NamedTuple):
+    """Answers of an upstream without a gap long enough for a restart."""
+
+    # Time of the first answer, in seconds on the local clock.
+    began_at: float
+
+    # Time of the last answer, in seconds on the local clock.
+    last_at: float
+
 
 class CrashSuspects:
-    """The suspect segments known to one instance; owned by a single task."""
+    """The suspects known to one instance; owned by a single task."""
 
     def __init__(self) -> None:
         self.registry = SuspectRegistry()
@@ -116,9 +151,12 @@
         self.new_crashes: list[EngineCrash] = []
         self.new_proofs: list[str] = []
         self.new_trials: list[str] = []
+        self.new_refutations: list[str] = []
+        self.answers: OrderedDict[str, AnswerSeries] = OrderedDict()
+        self.reported_crashes: dict[str, float] = {}
 
     def judge(self, digests: Iterable[str], now: float) -> Clearance:
-        """Return whether a request with these segments may be sent."""
+        """Return whether a request with these digests may be sent."""
         suspects = self.suspects_among(digests, now)
         if any(self.registry.must_refuse(one, now) for one in suspects):
             return Clearance.REFUSED
@@ -143,13 +181,17 @@
         )
 
     def record_interrupted(
-        self, engine: str, digests: Iterable[str], now: float
+        self,
+        engine: str,
+        digests: Iterable[str],
+        now: float,
+        sent_at: float | None = None,
     ) -> None:
         """Record a run that broke off early; a crash if its engine is gone."""
         unproven = self.unproven_among(digests, now)
         if not unproven:
             return
-        run = InterruptedRun(unproven, now)
+        run = InterruptedRun(unproven, now if sent_at is None else sent_at, now)
         self.interrupted.setdefault(engine, []).append(run)
         if self.is_gone(engine):
             self.record_gone(engine)
@@ -160,19 +202,33 @@
         if len(self.gone) > GONE_LIMIT:
             self.gone.pop(next(iter(self.gone)))
         for run in self.interrupted.pop(engine, []):
-            crashed_at = run.interrupted_at
-            for digest in self.unproven_among(run.digests, crashed_at):
-                if self._record_crash(digest, engine, crashed_at):
-                    crash = EngineCrash(digest, engine, crashed_at)
+            for digest in self.unproven_among(run.digests, run.interrupted_at):
+                crash = EngineCrash(
+                    digest, engine, run.interrupted_at, run.sent_at
+                )
+                if self._record_crash(crash):
                     self.new_crashes.append(crash)
 
     def is_gone(self, engine: str) -> bool:
         """Return whether an engine was found gone and has not answered."""
         return engine in self.gone
 
-    def record_answer(self, engine: str) -> None:
-        """Record that an engine answers, so that it is not gone."""
+    def record_answer(self, engine: str, now: float) -> None:
+        """Record that an engine answers, so that it is not gone.
+
+        Refutes a crash across which it went on answering.
+        """
         self.gone.pop(engine, None)
+        series = self.answers.pop(engine, AnswerSeries(now, now))
+        if now - series.last_at > RESTART_GAP_SECONDS:
+            series = AnswerSeries(now, now)
+        self.answers[engine] = series._replace(last_at=now)
+        oldest = now - CONFIRMATION_WINDOW_SECONDS
+        while next(iter(self.answers.values())).last_at < oldest:
+            self.answers.popitem(last=False)
+        if self._has_answered_across(engine, self.reported_crashes.get(engine)):
+            self._refute(engine)
+            self._announce_refutation(engine)
 
     def drop_unconfirmed(self, now: float) -> None:
         """Drop the runs whose engine was not found gone in time."""
@@ -180,6 +236,9 @@
         for engine, runs in list(self.interrupted.items()):
             if runs[-1].interrupted_at < oldest:
                 self.interrupted.pop(engine)
+        for engine, crashed_at in list(self.reported_crashes.items()):
+            if crashed_at < oldest:
+                self.reported_crashes.pop(engine)
 
     def prove(self, digests: Iterable[str], now: float) -> None:
         """Record a run that got past the start of its answer."""
@@ -189,7 +248,7 @@
             self._add_proof(digest, now)
 
     def is_on_trial(self, digests: Iterable[str], now: float) -> bool:
-        """Return whether a trial of any of these segments is running."""
+        """Return whether a trial of any of these digests is running."""
         return any(self.trials_until.get(one, 0) > now for one in digests)
 
     def begin_trial(self, digests: frozenset[str], now: float) -> None:
@@ -200,12 +259,12 @@
     def apply_news(self, news: SuspectNews, now: float) -> SuspectNews:
         """Apply the news of a peer; return the part that was new here."""
         new = make_suspect_news()
-        for crash in news.crashes:
-            crashed_at = now - crash.age_seconds
-            if self._is_proven(crash.digest, now):
-                self.new_proofs.append(crash.digest)
-            elif self._record_crash(crash.digest, crash.engine, crashed_at):
-                new.crashes.append(crash)
+        new.crashes.extend(
+            report for report in news.crashes if self._apply_report(report, now)
+        )
+        for engine in news.refuted:
+            if self._refute(engine):
+                new.refuted.append(engine)
         for digest in news.proven:
             if self.registry.must_isolate(digest, now):
                 new.proven.append(digest)
@@ -218,55 +277,107 @@
 
     def has_news(self) -> bool:
         """Return whether there is something to tell the other instances."""
-        return bool(self.new_crashes or self.new_proofs or self.new_trials)
+        return bool(
+            self.new_crashes
+            or self.new_proofs
+            or self.new_trials
+            or self.new_refutations
+        )
 
     def take_news(self, now: float) -> SuspectNews:
         """Return what has not been told to the others yet, and clear it."""
         crashes = [
-            SegmentCrash(one.digest, one.engine, now - one.crashed_at)
+            CrashReport(
+                one.digest,
+                one.engine,
+                now - one.crashed_at,
+                now - one.sent_at,
+            )
             for one in self.new_crashes
         ]
-        news = SuspectNews(crashes, self.new_proofs, self.new_trials)
+        news = SuspectNews(
+            crashes, self.new_proofs, self.new_trials, self.new_refutations
+        )
         self.new_crashes = []
         self.new_proofs = []
         self.new_trials = []
+        self.new_refutations = []
         return news
 
     def summarize(self, now: float) -> SuspectNews:
         """Return all valid records, for an instance that has just started."""
         summary = make_suspect_news()
         for digest, record in self.registry.valid_records(now).items():
-            age = SUSPECT_TTL_SECONDS - (record.expires_at - now)
+            age = now - record.last_crash_at
             summary.crashes.extend(
-                SegmentCrash(digest, engine, age)
+                CrashReport(digest, engine, age, age)
                 for engine in sorted(record.crashes)
             )
         return summary
 
-    def _record_crash(
-        self, digest: str, engine: str, crashed_at: float
-    ) -> bool:
-        report = SuspectCrash(digest, engine, alone=False)
-        if not self.registry.record(report, crashed_at):
+    def _apply_report(self, report: CrashReport, now: float) -> bool:
+        crash = EngineCrash(
+            report.digest,
+            report.engine,
+            now - report.age_seconds,
+            now - report.sent_age_seconds,
+        )
+        if self._is_proven(crash.digest, now):
+            self.new_proofs.append(crash.digest)
+            return False
+        if self._has_answered_across(crash.engine, crash.crashed_at):
+            self._announce_refutation(crash.engine)
+            return False
+        return self._record_crash(crash)
+
+    def _record_crash(self, crash: EngineCrash) -> bool:
+        crashed_at = crash.crashed_at
+        if crash.sent_at < self.registry.last_crash_at(
+            crash.digest, crashed_at
+        ):
+            return False
+        counted = SuspectCrash(crash.digest, crash.engine, alone=False)
+        if not self.registry.record(counted, crashed_at):
             return False
         self.last_crash_at = max(self.last_crash_at, crashed_at)
+        self.reported_crashes[crash.engine] = crashed_at
         _LOG.info(
-            'segment suspected',
+            'crash suspected',
             extra={
-                'segment': digest,
-                'upstream': engine,
-                'refused': self.registry.must_refuse(digest, crashed_at),
+                'suspect': crash.digest,
+                'upstream': crash.engine,
+                'refused': self.registry.must_refuse(crash.digest, crashed_at),
             },
         )
         return True
 
+    def _has_answered_across(
+        self, engine: str, crashed_at: float | None
+    ) -> bool:
+        series = self.answers.get(engine)
+        if series is None or crashed_at is None:
+            return False
+        later_at = crashed_at + ANSWER_TRANSIT_SECONDS
+        return series.began_at <= crashed_at and series.last_at > later_at
+
+    def _announce_refutation(self, engine: str) -> None:
+        if engine not in self.new_refutations:
+            self.new_refutations.append(engine)
+
+    def _refute(self, engine: str) -> bool:
+        if self.reported_crashes.pop(engine, None) is None:
+            return False
+        self.registry.retract(engine)
+        _LOG.info('crash refuted', extra={'upstream': engine})
+        return True
+
     def _is_proven(self, digest: str, now: float) -> bool:
         proven_at = self.proven_at.get(digest, float('-inf'))
         return now - proven_at <= PROOF_TTL_SECONDS
 
     def _add_proof(self, digest: str, now: float) -> None:
         if self.registry.must_isolate(digest, now):
-            _LOG.info('segment cleared', extra={'segment': digest})
+            _LOG.info('crash suspect cleared', extra={'suspect': digest})
         self.registry.clear(digest)
         self.trials_until.pop(digest, None)
         self.proven_at[digest] = now
@@ -284,4 +395,4 @@
 
 def make_suspect_news() -> SuspectNews:
     """Return empty news."""
-    return SuspectNews([], [], [])
+    return SuspectNews([], [], [], [])
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -39,7 +39,7 @@
 _RETRY_AFTER_BY_CODE: Final[Mapping[ResultCode, float]] = MappingProxyType(
     {
         code: CODE_TABLE[code].retry_after_seconds
-        for code in (ResultCode.PROMPT_SUSPECT, ResultCode.PROMPT_REFUSED)
+        for code in (ResultCode.CRASH_SUSPECT, ResultCode.CRASH_REFUSED)
     }
 )
 _STACK: Final = 'cranberryrelay.stack'
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -74,13 +74,14 @@
         super().__init__(context, admitted, RequestLog(admitted))
         self.prefill = PrefillRun(context, admitted, self.log)
         self.attempts = 0
-        self.gate = ClearanceGate(context, admitted)
+        self.gate = ClearanceGate(context, admitted, Role.DECODE)
         self.backup_engine: Upstream | None = None
 
-        # The engine that generates, or was last asked to, and the number of
-        # events that it has sent.
+        # The engine that generates, or was last asked to, the number of events
+        # that it has sent, and when it was asked.
         self.engine: Upstream | None = None
         self.engine_event_count = 0
+        self.generation_sent_at = float('-inf')
         self.last_event_number: int | None = admitted.request.last_event_number
 
         # Software version that began the stream, at whose engines alone it may
@@ -232,6 +233,7 @@
         self.engine_event_count = 0
         self.log.record_decode_engine(engine)
         sent = InFlightCall(0, self.context.timers.now())
+        self.generation_sent_at = sent.sent_at
         state.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         self.admitted.stack.callback(state.backlog.remove, engine.name, sent)
@@ -251,7 +253,7 @@
             return
         self.log.log_interrupted(self.engine.name, failure)
         if self.engine_event_count < PROOF_EVENTS:
-            self.gate.record_interrupted(self.engine)
+            self.gate.record_interrupted(self.engine, self.generation_sent_at)
 
     def choose_backup(self, engine: Upstream) -> Upstream | None:
         """Choose an engine for the backup if the request may not run twice."""
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -9,7 +9,12 @@
 from cranberryrelay.relay._attempts import Attempts
 from cranberryrelay.relay._backlog import InFlightCall
 from cranberryrelay.relay._catalogue import RequestKind, Role, Upstream
-from cranberryrelay.relay._context import BufferedReply
+from cranberryrelay.relay._clearance import ClearanceGate
+from cranberryrelay.relay._context import (
+    AdmittedRequest,
+    BufferedReply,
+    RelayContext,
+)
 from cranberryrelay.relay._placement import choose_plain_upstream
 from cranberryrelay.relay._request_digest import digest_request
 from cranberryrelay.relay._requests import UpstreamCall
@@ -19,12 +24,23 @@
 # longer than this, as the timeout of a route may be shorter.
 UNRESPONSIVE_SECONDS: Final = 1.0
 _SERVER_ERROR: Final = 500
+
+# Failures after which the process may have crashed on the call.
+_INTERRUPTIONS: Final = frozenset(
+    (ResultCode.UPSTREAM_FAILED, ResultCode.STREAM_BROKEN)
+)
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
 class PlainRun(Attempts):
     """Execution of one call on the processes of a plain service."""
 
+    def __init__(
+        self, context: RelayContext, admitted: AdmittedRequest
+    ) -> None:
+        super().__init__(context, admitted)
+        self.gate = ClearanceGate(context, admitted, Role.PLAIN)
+
     async def run(self) -> Result[BufferedReply, Failure]:
         """Return the buffered response of the service, or the failure."""
         outcome: Result[BufferedReply, Failure] = Err(
@@ -32,6 +48,11 @@
         )
         attempts = 0
         while attempts < self.admitted.route.attempts_limit:
+            cleared = await self.gate.wait()
+            if isinstance(cleared, Err):
+                # Only the failure of an earlier attempt says that it may have
+                # run.
+                return outcome if attempts else cleared
             upstream = await self.choose_within_limits(
                 self.choose_upstream, Role.PLAIN
             )
@@ -68,8 +89,13 @@
         finally:
             state.backlog.remove(upstream.name, sent)
         if isinstance(outcome, Err):
-            self.record_failure(upstream, outcome.unwrap_err())
+            failure = outcome.unwrap_err()
+            self.record_failure(upstream, failure)
+            if failure.code in _INTERRUPTIONS:
+                self.gate.record_interrupted(upstream, sent.sent_at)
+                await self.gate.confirm_crash()
         else:
+            self.gate.record_proven()
             self.record_response(upstream, outcome.unwrap())
         return outcome
 
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -9,6 +9,7 @@
 import trio
 
 from cranberryrelay.relay._account_writer import AccountWriter
+from cranberryrelay.relay._connection_probe import probe_connection
 from cranberryrelay.relay._context import RelayContext
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._front_app import make_front_app, make_readiness_app
@@ -87,7 +88,9 @@
         make_upstream_client() as client,
         trio.open_nursery() as nursery,
     ):
-        tools = RelayContext(state, client, dependencies.dialect, timers)
+        tools = RelayContext(
+            state, client, dependencies.dialect, timers, probe_connection
+        )
         account = AccountWriter(
             state,
             dependencies.store,
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -251,7 +251,9 @@
             self.fleet.record_recovery(name)
             recovered = self.fleet.upstreams.get(name)
             if recovered is not None:
-                self.crash_suspects.record_answer(recovered.incarnation_id())
+                self.crash_suspects.record_answer(
+                    recovered.incarnation_id(), now
+                )
 
     def record_failure(self, name: str, failure: Failure, now: float) -> None:
         """Record a failure of an upstream and add it to the peer update.
@@ -288,7 +290,8 @@
         """Record an answer; add a recovery to the peer update."""
         known = self.fleet.upstreams.get(name)
         if known is not None:
-            self.crash_suspects.record_answer(known.incarnation_id())
+            self.crash_suspects.record_answer(known.incarnation_id(), now)
+            self.announce_news()
         if self.fleet.has_failed(name):
             self.peer_update.recovered.append(name)
         self.fleet.record_success(name, now)
--- a/cranberryrelay/relay/tests/test_clearance.py
+++ b/cranberryrelay/relay/tests/test_clearance.py
@@ -1,6 +1,7 @@
 """When a request with suspect segments may run as a trial."""
 
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from unittest import TestCase
 
 import httpx
@@ -11,8 +12,11 @@
 from cranberryrelay.codes import ResultCode, fail
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import ModelRequest, RequestKind, Role, Upstream
-from cranberryrelay.relay._clearance import ClearanceGate
+from cranberryrelay.relay._admission_queue import RECHECK_SECONDS
+from cranberryrelay.relay._clearance import CONFIRMATION_SECONDS, ClearanceGate
+from cranberryrelay.relay._connection_probe import ConnectionProbe
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
+from cranberryrelay.relay._crash_suspects import Clearance
 from cranberryrelay.relay._fleet import MAX_BACKOFF_SECONDS
 from cranberryrelay.relay._peer_update import make_peer_update
 from cranberryrelay.relay._state import RelayState
@@ -25,6 +29,7 @@
 from cranberryrelay.timing import open_timer_service
 
 SUSPECTS = frozenset(('deadly',))
+ENGINE = Upstream('d1', 1, 's', 'd1:1', 'a', 64, False, Role.DECODE)
 
 
 class TrialTest(TestCase):
@@ -42,22 +47,73 @@
         self.assertEqual(allowed, expected)
 
 
+class ProbeTest(TestCase):
+    """A connection tells a crashed engine from a lost connection."""
+
+    # Guards against sending a request on before the crash of its engine is
+    # known, and against delaying one whose connection alone was lost.
+    @params(
+        (False, Clearance.TRIAL_ONLY, 0),
+        (True, Clearance.GRANTED, 0),
+        (None, Clearance.GRANTED, CONFIRMATION_SECONDS),
+    )
+    def test_probe_after_interruption(
+        self, accepted: bool | None, expected: Clearance, delay: float
+    ) -> None:
+        clearance, waited = trio.run(
+            interrupt, accepted, clock=MockClock(autojump_threshold=0)
+        )
+        self.assertIs(clearance, expected)
+        if expected is Clearance.GRANTED:
+            self.assertAlmostEqual(waited, delay, delta=2 * RECHECK_SECONDS)
+
+
+async def interrupt(accepted: bool | None) -> tuple[Clearance, float]:
+    """Break a run off; return its clearance then and how long it waited."""
+
+    async def probe(address: str) -> bool | None:
+        return accepted
+
+    async with open_gate(probe) as gate:
+        started_at = gate.context.timers.now()
+        gate.record_interrupted(ENGINE, started_at)
+        await gate.wait()
+        now = gate.context.timers.now()
+        return gate.suspects.judge(gate.digests, now), now - started_at
+
+
 async def ask_for_trial(answered: str) -> bool:
     """Return whether a trial may begin after one of two engines crashed."""
+    async with open_gate() as gate:
+        state = gate.context.state
+        timers = gate.context.timers
+        failure = fail(ResultCode.UPSTREAM_UNREACHABLE, 'refused')
+        state.record_failure('d1', failure, timers.now())
+        await timers.pause(MAX_BACKOFF_SECONDS + 1)
+        if answered == 'this instance':
+            state.record_success('d1', timers.now())
+        if answered == 'a peer':
+            update = make_peer_update()._replace(recovered=['d1'])
+            state.apply_peer_update(update, timers.now())
+        return gate.may_begin_trial(SUSPECTS, timers.now())
+
+
+@asynccontextmanager
+async def open_gate(
+    probe: ConnectionProbe | None = None,
+) -> AsyncIterator[ClearanceGate]:
+    """Make the gate of a request at an instance that knows two engines."""
     state = RelayState(make_settings())
     route = make_route(RequestKind.STREAM)
     state.apply_table(make_table(1, route), 'test')
-    for name in ('d1', 'd2'):
-        engine = Upstream(
-            name, 1, 's', f'{name}:1', 'a', 64, False, Role.DECODE
-        )
-        state.apply_upstream(engine, 'test')
+    state.apply_upstream(ENGINE, 'test')
+    state.apply_upstream(ENGINE._replace(name='d2', address='d2:1'), 'test')
     async with (
         open_timer_service() as timers,
         httpx.AsyncClient() as client,
         AsyncExitStack() as stack,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
+        context = RelayContext(state, client, TargetDialect(), timers, probe)
         admitted = AdmittedRequest(
             request=make_arrival('r1', ModelRequest('m', 1, 1, ())),
             route=route,
@@ -66,13 +122,4 @@
             deadline=timers.now() + 8,
             stack=stack,
         )
-        gate = ClearanceGate(context, admitted)
-        failure = fail(ResultCode.UPSTREAM_UNREACHABLE, 'refused')
-        state.record_failure('d1', failure, timers.now())
-        await timers.pause(MAX_BACKOFF_SECONDS + 1)
-        if answered == 'this instance':
-            state.record_success('d1', timers.now())
-        if answered == 'a peer':
-            update = make_peer_update()._replace(recovered=['d1'])
-            state.apply_peer_update(update, timers.now())
-        return gate.may_begin_trial(SUSPECTS, timers.now())
+        yield ClearanceGate(context, admitted, Role.DECODE)
--- a/cranberryrelay/relay/tests/test_crash_suspects.py
+++ b/cranberryrelay/relay/tests/test_crash_suspects.py
@@ -13,6 +13,7 @@
 from cranberryrelay.relay import Role, Upstream
 from cranberryrelay.relay._crash_suspects import (
     CONFIRMATION_WINDOW_SECONDS,
+    RESTART_GAP_SECONDS,
     TRIAL_SECONDS,
     Clearance,
     CrashSuspects,
@@ -36,7 +37,7 @@
 
 def engine_answered_since(suspects: CrashSuspects) -> None:
     suspects.record_gone('e1')
-    suspects.record_answer('e1')
+    suspects.record_answer('e1', NOW)
     suspects.record_interrupted('e1', PROMPT, NOW)
 
 
@@ -70,6 +71,24 @@
     crash_once(suspects, 'e2')
 
 
+def crashed_together(suspects: CrashSuspects) -> None:
+    for engine in ('e1', 'e2', 'e3'):
+        suspects.record_interrupted(engine, PROMPT, NOW, sent_at=NOW - 0.1)
+        suspects.record_gone(engine)
+
+
+def answered_across(suspects: CrashSuspects) -> None:
+    suspects.record_answer('e1', NOW - 0.2)
+    crash_once(suspects, 'e1')
+    suspects.record_answer('e1', NOW + 0.5)
+
+
+def restarted_after(suspects: CrashSuspects) -> None:
+    suspects.record_answer('e1', NOW - 0.2)
+    crash_once(suspects, 'e1')
+    suspects.record_answer('e1', NOW + RESTART_GAP_SECONDS + 0.1)
+
+
 def crash_once(suspects: CrashSuspects, engine: str) -> None:
     suspects.record_interrupted(engine, PROMPT, NOW)
     suspects.record_gone(engine)
@@ -86,6 +105,9 @@
     (gone_before_run_broke, Clearance.TRIAL_ONLY),
     (same_crash_seen_twice, Clearance.TRIAL_ONLY),
     (crashed_twice, Clearance.REFUSED),
+    (crashed_together, Clearance.TRIAL_ONLY),
+    (answered_across, Clearance.GRANTED),
+    (restarted_after, Clearance.TRIAL_ONLY),
 )
 
 
@@ -141,6 +163,28 @@
         end = NOW + SUSPECT_TTL_SECONDS + 1
         self.assertIs(restarted.judge(PROMPT, end), Clearance.GRANTED)
 
+    # Guards against refusing sound requests for the broken connections of one
+    # instance; ``heard_at`` is when the other hears of the crash.
+    @params(NOW + 0.01, NOW + 2)
+    def test_peer_refutes_crash_of_engine_that_answers_it(
+        self, heard_at: float
+    ) -> None:
+        cut_off, peer = CrashSuspects(), CrashSuspects()
+        crash_once(cut_off, 'e1')
+        news = cut_off.take_news(heard_at)
+        times = [NOW + step / 10 for step in range(-5, 25)]
+        for answered_at in times:
+            if answered_at <= heard_at:
+                peer.record_answer('e1', answered_at)
+        peer.apply_news(news, heard_at)
+        for answered_at in times:
+            if answered_at > heard_at:
+                peer.record_answer('e1', answered_at)
+        cut_off.apply_news(peer.take_news(NOW + 2.5), NOW + 2.5)
+        for suspects in (cut_off, peer):
+            clearance = suspects.judge(PROMPT, NOW + 2.5)
+            self.assertIs(clearance, Clearance.GRANTED)
+
     def test_news_is_forwarded_once(self) -> None:
         first, second = CrashSuspects(), CrashSuspects()
         crash_once(first, 'e1')
--- a/cranberryrelay/relay/tests/test_crashing_requests.py
+++ b/cranberryrelay/relay/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
 
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import ClientLimits, RequestKind, Role, Upstream
+from cranberryrelay.relay._connection_probe import ConnectionProbe
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
 from cranberryrelay.relay._plain_path import PlainRun
 from cranberryrelay.relay._state import RelayState
@@ -51,14 +52,29 @@
         self.crashed_at.append(now)
         raise httpx.ReadError('reset')
 
+    async def probe(self, address: str) -> bool | None:
+        """Return whether the process at an address accepts connections."""
+        host = address.partition(':')[0]
+        return self.down_until.get(host, 0) <= trio.current_time()
+
 
 class CrashingRequestTest(TestCase):
     """Processes must not be crashed on and on by one call."""
 
     # Guards against passing a call on after it has crashed three processes.
     def test_call_that_crashes_processes_is_held_back(self) -> None:
+        self.play(RequestKind.IDEMPOTENT, probes=False)
+
+    # Guards against the same where only the next caller can be held back.
+    def test_call_that_may_run_once_is_held_back(self) -> None:
+        self.play(RequestKind.AT_MOST_ONCE, probes=True)
+
+    def play(self, kind: RequestKind, *, probes: bool) -> None:
+        """Repeat a deadly call and count the late crashes."""
         processes = CrashingProcesses()
-        trio.run(repeat_call, processes, clock=MockClock(autojump_threshold=0))
+        clock = MockClock(autojump_threshold=0)
+        probe = processes.probe if probes else None
+        trio.run(repeat_call, processes, kind, probe, clock=clock)
         learned_at = processes.crashed_at[:CRASHES_TO_LEARN_FROM][-1]
         late = [
             crashed_at
@@ -68,9 +84,13 @@
         self.assertLessEqual(len(late), RETRIES_ALLOWED)
 
 
-async def repeat_call(processes: CrashingProcesses) -> None:
+async def repeat_call(
+    processes: CrashingProcesses,
+    kind: RequestKind,
+    probe: ConnectionProbe | None,
+) -> None:
     """Send the same call again and again, under a new id each time."""
-    route = make_route(RequestKind.IDEMPOTENT)._replace(attempts_limit=2)
+    route = make_route(kind)._replace(attempts_limit=2)
     state = RelayState(make_settings())
     state.apply_table(make_plain_table(1, route, ClientLimits()), 'test')
     for name in PROCESSES:
@@ -81,7 +101,7 @@
         open_timer_service() as timers,
         httpx.AsyncClient(transport=transport) as client,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
+        context = RelayContext(state, client, TargetDialect(), timers, probe)
         for number in range(REPEATS):
             async with AsyncExitStack() as stack:
                 admitted = AdmittedRequest(
--- a/cranberryrelay/relay/tests/test_crashing_segments.py
+++ b/cranberryrelay/relay/tests/test_crashing_segments.py
@@ -5,6 +5,7 @@
 some seconds.
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 from unittest import TestCase
 
@@ -76,32 +77,44 @@
         return httpx.Response(200, headers=headers, stream=stream)
 
 
+def make_repeated_work(request_id: str) -> ModelRequest:
+    """Make a prompt of sound segments that is the same each time."""
+    work = make_work(f'{SOUND}-0')
+    own = PromptSegment('own', 200)
+    return work._replace(segments=(*work.shared_segments(), own))
+
+
+def make_work(request_id: str) -> ModelRequest:
+    """Make a prompt; the deadly segment follows segments of sound ones."""
+    topic = f'topic-{int(request_id.rpartition("-")[2]) % 5}'
+    digests = ['system', topic, request_id]
+    if request_id.startswith(DEADLY):
+        digests.insert(2, DEADLY)
+    segments = tuple(PromptSegment(digest, 200) for digest in digests)
+    return ModelRequest('m', 200 * len(segments), 32, segments)
+
+
 class Case(NamedTuple):
-    """A row: the size of the fleet and the rates of requests."""
+    """A row: the size of the fleet, the rates and the deadly prompt."""
 
     name: str
     size: FleetSize
     deadly_per_second: float
     sound_per_second: float
+    make_deadly: Callable[[str], ModelRequest] = make_work
 
 
 CASES = (
     Case('full mesh, two decode engines', FleetSize(6, 2, 2), 0.4, 10),
     Case('full mesh, frequent', FleetSize(6, 2, 4), 2.0, 10),
     Case('hubs, frequent', FleetSize(21, 2, 6), 4.0, 20),
+    Case('whole request', FleetSize(6, 2, 4), 2.0, 10, make_repeated_work),
+    Case(
+        'whole request, hubs', FleetSize(21, 2, 6), 4.0, 20, make_repeated_work
+    ),
 )
 
 
-def make_work(request_id: str) -> ModelRequest:
-    """Make a prompt; the deadly segment follows segments of sound ones."""
-    topic = f'topic-{int(request_id.rpartition("-")[2]) % 5}'
-    digests = ['system', topic, request_id]
-    if request_id.startswith(DEADLY):
-        digests.insert(2, DEADLY)
-    segments = tuple(PromptSegment(digest, 200) for digest in digests)
-    return ModelRequest('m', 200 * len(segments), 32, segments)
-
-
 async def play_without_other_traffic(
     size: FleetSize, engines: CrashingEngines, per_second: float
 ) -> None:
@@ -130,7 +143,7 @@
 class CrashingSegmentTest(TestCase):
     """Engines must not be crashed on and on by new requests."""
 
-    # Guards against passing a segment on after it has crashed five engines,
+    # Guards against passing a prompt on after it has crashed five engines,
     # and against refusing sound requests that share its other segments.
     @params(*((case,) for case in CASES))
     def test_segment_that_crashes_engines_is_held_back(
@@ -140,7 +153,7 @@
         play = FleetPlay(case.size, engines)
         loads = (
             Load(SOUND, case.sound_per_second, make_work),
-            Load(DEADLY, case.deadly_per_second, make_work),
+            Load(DEADLY, case.deadly_per_second, case.make_deadly),
         )
         clock = MockClock(autojump_threshold=0)
         trio.run(play.run, loads, PLAY_SECONDS, clock=clock)
