Tell an instance what it missed once its links are back

An instance whose links to the others were cut while a request was found to crash upstreams judged it as before and passed it on: news is sent once, and the summary went only to instances that introduce themselves. It now goes to each peer whose message ends a silence longer than the liveness timeout.

Test: an instance cut off while the others learn, full mesh of 7 and hubs of 21; both rows failed without the change.

--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -108,6 +108,13 @@
         )
         return True
 
+    def has_returned(self, name: str, now: float) -> bool:
+        """Return whether a message ends a long silence of a known peer."""
+        known = self.peers.get(name)
+        if known is None or known.unanswered_since is None:
+            return False
+        return now - known.unanswered_since > LIVENESS_TIMEOUT_SECONDS
+
     def record_unanswered(self, name: str, now: float) -> None:
         """Record that a peer was sent a message that it answers."""
         known = self.peers[name]
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -114,7 +114,11 @@
 
     def handle_message(self, sender: str, message: Any) -> None:
         """Handle one message of a peer."""
-        self.membership.record_message(sender, self.timers.now())
+        now = self.timers.now()
+        if self.membership.has_returned(sender, now):
+            # News that was sent meanwhile may be lost.
+            self.news_exchange.send_summary(sender)
+        self.membership.record_message(sender, now)
         dispatch_message(message, self, sender)
 
     def handle_hello(self, sender: str, hello: Hello) -> None:
