Forward requests to peers while cut off from all upstreams

Cause: an instance judged each upstream by itself and never its own links, so it stayed in rotation and tried one upstream after the other. It also told its peers that the upstreams were out of reach, and they avoided them.

Change: failures or silence of several upstreams make it open connections to some of each failure domain; if none accepts one, it forwards requests to a peer that does reach upstreams, over one hop, and checks again every 0.3 s. Failures are told to peers only once something else has arrived after them.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -67,6 +67,8 @@
     CRASH_SUSPECT = 3111
     CRASH_REFUSED = 3112
     STREAM_VERSION_UNKNOWN = 3113
+    FORWARD_UNAVAILABLE = 3114
+    FORWARD_REFUSED = 3115
 
     UPSTREAM_FAILED = 4101
     UPSTREAM_TIMEOUT = 4102
@@ -293,6 +295,18 @@
             _NOT_RUN,
             1,
         ),
+        ResultCode.FORWARD_UNAVAILABLE: CodeEntry(
+            'the instance reaches no upstream and no peer takes the request',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
+        ResultCode.FORWARD_REFUSED: CodeEntry(
+            'the instance takes no request that a peer forwards',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
         ResultCode.UPSTREAM_FAILED: CodeEntry(
             'the upstream failed', HTTPStatus.BAD_GATEWAY, _MAY_HAVE_RUN
         ),
--- a/cranberryrelay/platform/_boot.py
+++ b/cranberryrelay/platform/_boot.py
@@ -58,7 +58,7 @@
     listen: _Listen
     # The platform's store.
     platform: _Store
-    # Two ports: for messages between instances and for metrics.
+    # Two ports: for messages between instances and for forwarded requests.
     port_range: tuple[int, int]
     # Interval between the reports of an upstream.
     heartbeat_ms: float = 1200
@@ -115,7 +115,7 @@
         front_address=boot.listen.front,
         ready_address=boot.listen.ready,
         peer_port=boot.port_range[0],
-        metrics_port=boot.port_range[1],
+        forward_port=boot.port_range[1],
         store_url=f'http://{boot.platform.address}',
         seed_ips=tuple(seed.rpartition(':')[0] for seed in boot.seeds),
         domains=tuple(sorted(boot.zones)),
--- a/cranberryrelay/relay/_account_buffer.py
+++ b/cranberryrelay/relay/_account_buffer.py
@@ -59,6 +59,12 @@
             return
         self.entries.append(AccountEntry(request_id, revision))
 
+    def remove(self, request_id: str) -> None:
+        """Remove a request that another instance runs."""
+        self.entries = [
+            entry for entry in self.entries if entry.request_id != request_id
+        ]
+
     def drain(self) -> list[AccountEntry]:
         """Remove and return all entries."""
         if self.dropped:
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -197,6 +197,11 @@
                 failures=0, backoff_until=float('-inf')
             )
 
+    def end_backoffs(self) -> None:
+        """End all backoffs, as failures so far were not the upstreams'."""
+        for name in self.health:
+            self.record_recovery(name)
+
     def record_failure(
         self, name: str, now: float, *, counts_toward_backoff: bool = True
     ) -> None:
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -16,12 +16,19 @@
     ExecutionState,
     Failure,
     ResultCode,
+    fail,
 )
 from cranberryrelay.relay._context import (
     BufferedReply,
     RelayContext,
     StreamReply,
 )
+from cranberryrelay.relay._forward_reports import forward_address
+from cranberryrelay.relay._forwarding import (
+    FORWARDED_LIMIT,
+    REFUSED_HEADER,
+    REVISION_HEADER,
+)
 from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._requests import IncomingRequest, RawHeaders
 from cranberryrelay.relay._state import ActiveRequest
@@ -95,6 +102,46 @@
         return response
 
 
+class ForwardRoutes(FrontRoutes):
+    """Handlers for requests that peers forward."""
+
+    async def handle_request(self) -> Response:
+        """Handle a request of a peer that is cut off from upstreams."""
+        obstacle = self.find_obstacle()
+        if obstacle is not None:
+            refusal = self.refuse(fail(ResultCode.FORWARD_REFUSED, obstacle))
+            refusal.headers[REFUSED_HEADER.decode()] = obstacle
+            return refusal
+        arrived_at = self.context.timers.now()
+        stack: AsyncExitStack = request.scope['state'][_STACK]
+        stack.enter_context(self.context.state.forwarded.track())
+        body: Any = await request.get_data(as_text=False)
+        arrival = read_request(body, arrived_at)
+        headers = [
+            pair
+            for pair in arrival.headers
+            if pair[0].lower() != REVISION_HEADER
+        ]
+        outcome = await self.pipeline.serve(
+            arrival._replace(headers=headers), stack, may_forward=False
+        )
+        if isinstance(outcome, Err):
+            return self.refuse(outcome.unwrap_err())
+        return make_response(outcome.unwrap())
+
+    def find_obstacle(self) -> str | None:
+        """Return why a forwarded request is not taken; None if it is."""
+        state = self.context.state
+        if not forward_address(state):
+            return 'not ready, or cut off from upstreams'
+        if state.forwarded.active >= FORWARDED_LIMIT:
+            return f'{FORWARDED_LIMIT} forwarded requests are in progress'
+        revision = request.headers.get(REVISION_HEADER.decode(), '')
+        if not revision.isdecimal() or int(revision) > state.revision():
+            return f'revision {revision} is not in force here'
+        return None
+
+
 _RETRYABLE_STATUSES: Final = frozenset(
     (
         HTTPStatus.SERVICE_UNAVAILABLE,
@@ -201,6 +248,14 @@
     return app
 
 
+def make_forward_app(context: RelayContext) -> QuartTrio:
+    """Make the app that serves requests that peers forward."""
+    app = CleanupApp('cranberryrelay.forward', context)
+    app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
+    app.before_request(ForwardRoutes(context).handle_request)
+    return app
+
+
 def make_readiness_app(context: RelayContext) -> QuartTrio:
     """Make the app that serves the readiness check and the metrics."""
     app = ShieldedSendApp('cranberryrelay.ready')
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -396,6 +396,7 @@
     def record_event(self, event: Event) -> None:
         """Record the time and number of an event that was received."""
         now = self.context.timers.now()
+        self.context.state.reach.record_contact(now)
         first_seconds = self.log.record_event(now)
         if self.version is None and self.engine is not None:
             self.version = self.engine.software_version
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -5,6 +5,7 @@
 from cranberryrelay.relay._backlog import EngineLoad
 from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._forward_targets import ForwardTarget
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_update import PeerUpdate
 from cranberryrelay.relay._rate_limits import LimitNews
@@ -40,6 +41,13 @@
     # State of the store up to which the sender knows the upstreams.
     upstream_position: StorePosition
 
+    # Whether the sender reaches no upstream.
+    cut_off: bool
+
+    # 'IP:port' at which the sender takes requests of peers that are cut off; ''
+    # if it takes none.
+    forward_address: str
+
 
 class GroupBeat(NamedTuple):
     """Heartbeat of a hub to its members and to hubs of other domains."""
@@ -65,6 +73,13 @@
     # hub: the sender.
     store_reachable: bool
 
+    # Whether some instance of the sender's failure domain reaches no upstream.
+    cut_off: bool
+
+    # Instances that take requests of those that are cut off, if there are any.
+    # To a member: of the fleet. To a hub: of the sender's failure domain.
+    forward_targets: list[ForwardTarget]
+
 
 class NoteShare(NamedTuple):
     """Release note in force at the sender, as the store holds it."""
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -8,6 +8,10 @@
 from cranberryrelay.relay._anti_entropy import REPAIR_DELAY_SECONDS, AntiEntropy
 from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._forward_reports import (
+    ForwardReports,
+    forward_address,
+)
 from cranberryrelay.relay._group_hub import (
     HUB_IDLE_HEARTBEAT_SECONDS,
     GroupHub,
@@ -24,7 +28,7 @@
     NoteShare,
     UpstreamShare,
 )
-from cranberryrelay.relay._peer_update import make_peer_update
+from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
@@ -84,6 +88,7 @@
             store_replica, self.membership, self.send
         )
         self.news_exchange = NewsExchange(self)
+        self.forward_reports = ForwardReports(state, self.membership)
 
     def send_hello(self, name: str, address: str, answer: bool = True) -> None:
         """Introduce this instance at an address, unless it is leaving."""
@@ -140,7 +145,12 @@
         now = self.timers.now()
         self.state.start_check.record_peer(heartbeat.revision)
         self.state.backlog.apply_report(sender, heartbeat.loads, now)
+        if heartbeat.cut_off:
+            heartbeat = heartbeat._replace(
+                update=heartbeat.update.without_failures()
+            )
         self.state.apply_peer_update(heartbeat.update, now)
+        self.forward_reports.record_load_beat(sender, heartbeat, now)
         self.membership.record_load_beat(sender)
         delay = REPAIR_DELAY_SECONDS
         if self.membership.uses_hubs and self.membership.in_own_domain(sender):
@@ -157,6 +167,7 @@
         self.state.start_check.record_peer(heartbeat.revision)
         self.state.backlog.apply_report(sender, heartbeat.loads, now)
         self.state.apply_peer_update(heartbeat.update, now)
+        self.forward_reports.record_group_beat(sender, heartbeat, now)
         if self.membership.in_own_domain(sender):
             self.apply_hub_heartbeat(heartbeat)
             return
@@ -233,14 +244,15 @@
     def send_heartbeat(self, now: float) -> None:
         """Send this instance's load report to all peers, or to its hub."""
         state = self.state
-        update = state.peer_update
+        update = take_peer_update(state, now)
         heartbeat = LoadBeat(
             loads=state.backlog.own_loads(now),
             update=update,
             revision=self.state.start_check.confirmed(self.state.revision()),
             upstream_position=self.store_replica.upstream_position,
+            cut_off=state.reach.cut_off,
+            forward_address=forward_address(state),
         )
-        state.peer_update = make_peer_update()
         self.last_heartbeat_at = now
         self.sent_changes = state.backlog.change_count
         if self.membership.uses_hubs:
@@ -296,6 +308,8 @@
             instances=self.state.live_instances,
             store_reachable=self.state.is_store_reachable()
             or group_hub.is_store_reachable_elsewhere(),
+            cut_off=self.forward_reports.is_domain_cut_off(now),
+            forward_targets=self.forward_reports.for_members(now),
         )
         loads_by_member = group_hub.loads_for_members(group_hub.members, now)
         for name, loads in loads_by_member.items():
@@ -311,6 +325,7 @@
             update=group_hub.take_hub_update(),
             instances=group_hub.domain_instances(),
             store_reachable=self.state.is_store_reachable(),
+            forward_targets=self.forward_reports.for_hubs(now),
         )
         self.send_expecting_answer(
             self.membership.other_hub_candidates(now), summary, now
@@ -378,6 +393,22 @@
             self.state.live_instances = live
 
 
+def take_peer_update(state: RelayState, now: float) -> PeerUpdate:
+    """Return what peers are told now, and clear it.
+
+    Failures that may come from this instance's own links are held back, and
+    dropped if it is cut off.
+    """
+    update = state.peer_update
+    state.peer_update = make_peer_update()
+    if state.reach.cut_off:
+        return update.without_failures()
+    if state.reach.is_doubtful(state.backlog, now):
+        state.peer_update = update.only_failures()
+        return update.without_failures()
+    return update
+
+
 @singledispatch
 def dispatch_message(
     message: object, protocol: PeerProtocol, sender: str
@@ -438,4 +469,5 @@
     protocol.membership.remove(sender)
     protocol.group_hub.members.pop(sender, None)
     protocol.state.backlog.remove_peer(sender)
+    protocol.forward_reports.remove_peer(sender)
     protocol.update_live_instances()
--- a/cranberryrelay/relay/_peer_update.py
+++ b/cranberryrelay/relay/_peer_update.py
@@ -36,6 +36,16 @@
         for name in other.failed:
             self.add_failure(name)
 
+    def without_failures(self) -> 'PeerUpdate':
+        """Return the update without failures of upstreams."""
+        return self._replace(unreachable=[], failed=[])
+
+    def only_failures(self) -> 'PeerUpdate':
+        """Return an update with only the failures of upstreams."""
+        return make_peer_update()._replace(
+            unreachable=self.unreachable, failed=self.failed
+        )
+
     def add_failure(self, name: str) -> None:
         """Add a request that failed at an upstream."""
         if self.failed.count(name) < FAILURES_LIMIT:
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -1,6 +1,6 @@
 """The request pipeline: admission, execution, and the order of the steps.
 
-All requests: admit -> run -> reply.
+All requests: admit -> run, or forward -> reply.
 Model requests: prefill -> start_generation -> pass_events, see
 ``_model_path``.
 Plain calls: choose -> exchange, see ``_plain_path``.
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._catalogue import ClientLimits, RequestKind, Route
 from cranberryrelay.relay._context import (
     AdmittedRequest,
@@ -20,6 +20,7 @@
     RelayContext,
     StreamReply,
 )
+from cranberryrelay.relay._forwarding import Forwarder
 from cranberryrelay.relay._model_path import ModelRun
 from cranberryrelay.relay._plain_path import PlainRun
 from cranberryrelay.relay._requests import IncomingRequest
@@ -35,15 +36,25 @@
 
     def __init__(self, context: RelayContext) -> None:
         self.context = context
+        self.forwarder = Forwarder(context)
 
     async def serve(
-        self, raw: IncomingRequest, stack: AsyncExitStack
+        self,
+        raw: IncomingRequest,
+        stack: AsyncExitStack,
+        *,
+        may_forward: bool = True,
     ) -> Result[BufferedReply | StreamReply, Failure]:
-        """Return the response to a request, or the failure that ended it."""
+        """Return the response to a request, or the failure that ended it.
+
+        ``may_forward`` is false for a request that a peer has forwarded.
+        """
         request = self.context.dialect.parse_request(raw)
         admitted = self.admit(request, stack)
         if isinstance(admitted, Err):
             outcome: Result[BufferedReply | StreamReply, Failure] = admitted
+        elif may_forward:
+            outcome = await self.run_or_forward(admitted.unwrap())
         else:
             outcome = await self.run(admitted.unwrap())
         rank = admitted.unwrap().route.rank if admitted.is_ok() else None
@@ -80,24 +91,46 @@
             return Err(
                 fail(ResultCode.REQUEST_MALFORMED, 'the request id is missing')
             )
-        service = route.pick_service(request.request_id)
-        state.account_buffer.add(request.request_id, state.table.revision)
-        state.retry_budget(service).count_request(request.arrived_at)
         return Ok(
             AdmittedRequest(
                 request=request,
                 route=route,
-                service=service,
+                service=route.pick_service(request.request_id),
                 revision=state.table.revision,
                 deadline=_deadline_of(request, route),
                 stack=stack,
             )
         )
 
+    async def run_or_forward(
+        self, admitted: AdmittedRequest
+    ) -> Result[BufferedReply | StreamReply, Failure]:
+        """Run a request here, or at a peer if no upstream can be reached.
+
+        A forwarded request is counted and entered in the account by the peer
+        that runs it.
+        """
+        state = self.context.state
+        if state.reach.cut_off:
+            return await self.forwarder.forward(admitted)
+        outcome = await self.run(admitted)
+        failure = outcome.err()
+        if failure is None or not state.reach.cut_off:
+            return outcome
+        if failure.ran is not ExecutionState.NOT_RUN:
+            return outcome
+        state.account_buffer.remove(admitted.request.request_id)
+        return await self.forwarder.forward(admitted)
+
     async def run(
         self, admitted: AdmittedRequest
     ) -> Result[BufferedReply | StreamReply, Failure]:
         """Run a request on engines or on a plain service, as its route says."""
+        request = admitted.request
+        state = self.context.state
+        state.account_buffer.add(request.request_id, admitted.revision)
+        budget = state.retry_budget(admitted.service)
+        budget.count_request(request.arrived_at)
         engines = self.context.state.engine_traits(admitted.service)
         is_model_request = (
             admitted.request.model_request is not None and engines
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -9,10 +9,17 @@
 import trio
 
 from cranberryrelay.relay._account_writer import AccountWriter
-from cranberryrelay.relay._connection_probe import probe_connection
+from cranberryrelay.relay._connection_probe import (
+    ConnectionProbe,
+    probe_connection,
+)
 from cranberryrelay.relay._context import RelayContext
 from cranberryrelay.relay._duties import Duties
-from cranberryrelay.relay._front_app import make_front_app, make_readiness_app
+from cranberryrelay.relay._front_app import (
+    make_forward_app,
+    make_front_app,
+    make_readiness_app,
+)
 from cranberryrelay.relay._note_archive import NoteArchive
 from cranberryrelay.relay._order_lease import OrderLease
 from cranberryrelay.relay._orders import EngineControl
@@ -26,6 +33,7 @@
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import Decoders, StoreReplica
 from cranberryrelay.relay._upstream_call import make_upstream_client
+from cranberryrelay.relay._upstream_reach import LOOK_SECONDS, ReachMonitor
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
 from cranberryrelay.serving import HttpServerOptions, serve_http
 from cranberryrelay.timing import TimerService, open_timer_service
@@ -102,9 +110,7 @@
             duties = Duties(peers)
             for watcher in _make_watchers(dependencies, duties):
                 nursery.start_soon(watcher.run)
-            nursery.start_soon(peers.receive)
-            nursery.start_soon(peers.run_heartbeats)
-            nursery.start_soon(peers.send_requested_heartbeats)
+            _start_peer_tasks(nursery, peers)
             nursery.start_soon(account.run)
             nursery.start_soon(account.keep_written)
             nursery.start_soon(_apply_settings, dependencies, state)
@@ -125,6 +131,30 @@
         state.apply_settings(settings)
 
 
+def _start_peer_tasks(nursery: trio.Nursery, peers: PeerProtocol) -> None:
+    nursery.start_soon(peers.receive)
+    nursery.start_soon(peers.run_heartbeats)
+    nursery.start_soon(peers.send_requested_heartbeats)
+    nursery.start_soon(
+        monitor_reach, peers.state, peers.timers, probe_connection
+    )
+
+
+async def monitor_reach(
+    state: RelayState, timers: TimerService, probe: ConnectionProbe
+) -> None:
+    """Keep the reach of upstreams up to date until cancelled."""
+    monitor = ReachMonitor(state.reach, state.backlog, probe, random.Random())
+    async for now in timers.subscribe(LOOK_SECONDS):
+        if not monitor.is_check_due(now):
+            continue
+        upstreams = state.fleet.upstreams.values()
+        if await monitor.check(upstreams, now):
+            if not state.reach.cut_off:
+                state.fleet.end_backoffs()
+            state.request_heartbeat()
+
+
 @contextmanager
 def _open_peers(
     state: RelayState, knowledge: StoreReplica, timers: TimerService
@@ -211,15 +241,19 @@
             ),
             trio.sleep_forever,
         )
-        await serve_http(
-            make_front_app(tools),
-            HttpServerOptions(
-                settings.front_address,
-                drain_seconds,
-                tools.state.idle_seconds,
-            ),
-            trigger.wait,
-        )
+        async with trio.open_nursery() as draining:
+            for app, address in (
+                (make_front_app(tools), settings.front_address),
+                (
+                    make_forward_app(tools),
+                    f'{settings.ip}:{settings.forward_port}',
+                ),
+            ):
+                options = HttpServerOptions(
+                    address, drain_seconds, tools.state.idle_seconds
+                )
+                draining.start_soon(serve_http, app, options, trigger.wait)
+            await trigger.run()
         nursery.cancel_scope.cancel()
 
 
@@ -236,9 +270,14 @@
         self.tools = tools
         self.peers = peers
         self.stop = stop
+        self.reached = trio.Event()
 
     async def wait(self) -> None:
-        """Return once the server must stop accepting requests."""
+        """Return once a server must stop accepting requests."""
+        await self.reached.wait()
+
+    async def run(self) -> None:
+        """Wait for the stop, announce it, and let the balancer react."""
         await self.stop.wait()
         state = self.tools.state
         state.draining = True
@@ -251,3 +290,4 @@
             for one in state.active.values()
         ]
         _LOG.info('stops accepting requests', extra={'left': unfinished})
+        self.reached.set()
--- a/cranberryrelay/relay/_settings.py
+++ b/cranberryrelay/relay/_settings.py
@@ -65,8 +65,8 @@
     # Port for messages between instances, the same on all instances.
     peer_port: int
 
-    # Port that serves metrics.
-    metrics_port: int
+    # Port that serves the requests that peers forward.
+    forward_port: int
 
     # URL of the platform's store.
     store_url: str
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import random
 from contextlib import suppress
 from typing import Final, NamedTuple
 
@@ -21,6 +22,7 @@
 )
 from cranberryrelay.relay._crash_suspects import CrashSuspects
 from cranberryrelay.relay._fleet import Fleet
+from cranberryrelay.relay._forward_targets import ActiveCount, ForwardTargets
 from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._placement import PlacementContext
 from cranberryrelay.relay._prefix_index import CachedSegment, PrefixIndex
@@ -31,6 +33,7 @@
 from cranberryrelay.relay._start_check import StartCheck
 from cranberryrelay.relay._stream_versions import StreamVersions
 from cranberryrelay.relay._telemetry import RelayTelemetry
+from cranberryrelay.relay._upstream_reach import UpstreamReach
 
 # Idle timeout of client connections while no release note is known.
 DEFAULT_IDLE_SECONDS: Final = 20.0
@@ -47,11 +50,21 @@
     'front_address',
     'ready_address',
     'peer_port',
-    'metrics_port',
+    'forward_port',
     'store_url',
 )
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
+# Failures that may come from the links of this instance.
+_LOST_LINK_CODES: Final = frozenset(
+    (
+        ResultCode.UPSTREAM_UNREACHABLE,
+        ResultCode.UPSTREAM_FAILED,
+        ResultCode.UPSTREAM_TIMEOUT,
+        ResultCode.STREAM_BROKEN,
+    )
+)
+
 
 class ActiveRequest(NamedTuple):
     """A request in progress."""
@@ -81,6 +94,9 @@
         self.rate_limits = RateLimits(settings.name)
         self.stream_versions = StreamVersions()
         self.start_check = StartCheck()
+        self.reach = UpstreamReach()
+        self.forward_targets = ForwardTargets(random.Random())
+        self.forwarded = ActiveCount()
         self.upstreams_listed = False
         channel = trio.open_memory_channel[None](1)
         self.heartbeat_sender = channel[0]
@@ -261,8 +277,11 @@
         An upstream that was replaced at its address is removed instead.
         """
         self.telemetry.count_failure(failure.code)
+        if failure.code in _LOST_LINK_CODES:
+            self.reach.record_failure(name, now)
         if failure.code is ResultCode.UPSTREAM_UNREACHABLE:
-            self.record_gone(self.fleet.upstreams.get(name))
+            if not self.reach.cut_off:
+                self.record_gone(self.fleet.upstreams.get(name))
             if not self.fleet.is_in_backoff(name, now):
                 self.peer_update.unreachable.append(name)
             self.fleet.record_unreachable(name, now)
@@ -288,6 +307,7 @@
 
     def record_success(self, name: str, now: float) -> None:
         """Record an answer; add a recovery to the peer update."""
+        self.reach.record_contact(now)
         known = self.fleet.upstreams.get(name)
         if known is not None:
             self.crash_suspects.record_answer(known.incarnation_id(), now)
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -10,6 +10,7 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._requests import (
     Dialect,
+    RawHeaders,
     ResponseMetadata,
     UpstreamCall,
 )
@@ -95,7 +96,7 @@
     ``ANSWER_MISMATCH`` if the response belongs to another request.
     """
     with limit_time(call.timeout_seconds) as scope:
-        sent = await _send(client, dialect, call, stack)
+        sent = await send_call(client, dialect, call, stack)
         if observe is not None and sent.is_ok():
             observe(sent.unwrap().metadata)
     if scope.cancelled_caught:
@@ -106,19 +107,24 @@
     return sent.and_then(lambda response: _check_response(call, response))
 
 
-async def _send(
+async def send_call(
     client: httpx.AsyncClient,
     dialect: Dialect,
     call: UpstreamCall,
     stack: AsyncExitStack,
+    extra_headers: RawHeaders = (),
 ) -> Result[UpstreamResponse, Failure]:
+    """Send a call; the response is not checked and the time not limited.
+
+    Errors: ``UPSTREAM_UNREACHABLE`` if nothing was sent, ``UPSTREAM_FAILED``.
+    """
     incoming = call.request
     request = client.build_request(
         incoming.method,
         httpx.URL(f'http://{call.address}').copy_with(
             raw_path=incoming.target.encode('latin-1')
         ),
-        headers=dialect.make_call_headers(call),
+        headers=[*dialect.make_call_headers(call), *extra_headers],
         content=incoming.body,
     )
     try:
--- a/cranberryrelay/relay/tests/fixtures.py
+++ b/cranberryrelay/relay/tests/fixtures.py
@@ -53,7 +53,7 @@
         front_address='127.0.0.1:0',
         ready_address='127.0.0.1:0',
         peer_port=7380,
-        metrics_port=7395,
+        forward_port=7395,
         store_url='http://127.0.0.1:1',
         seed_ips=(),
         domains=('a', 'b'),
--- a/cranberryrelay/relay/tests/test_whole_path.py
+++ b/cranberryrelay/relay/tests/test_whole_path.py
@@ -157,6 +157,7 @@
         front_address=f'{LOOPBACK}:{pick_port()}',
         ready_address=f'{LOOPBACK}:{pick_port()}',
         peer_port=pick_port(),
+        forward_port=pick_port(),
         store_url=store_url,
     )
 
--- a/cranberryrelay/soak/_layout.py
+++ b/cranberryrelay/soak/_layout.py
@@ -62,8 +62,8 @@
     # Port of the proxy between the instance and the store.
     store_port: int
 
-    # Port of the metrics endpoint.
-    metrics_port: int
+    # Port for forwarded requests.
+    forward_port: int
 
 
 class UpstreamConfig(NamedTuple):
@@ -189,7 +189,7 @@
 node_name = "{instance.name}"
 ip = "{instance.ip}"
 zone = "{instance.domain}"
-port_range = [{layout.peer_port}, {instance.metrics_port}]
+port_range = [{layout.peer_port}, {instance.forward_port}]
 heartbeat_ms = 1200
 seeds = [{', '.join(seeds)}]
 zones = {{ {zones} }}
