--- a/cranberryrelay/relay/_forward_reports.py
+++ b/cranberryrelay/relay/_forward_reports.py
@@ -82,7 +82,7 @@
         """Return targets in the whole fleet, if a member needs them."""
         if not self.is_domain_cut_off(now):
             return []
-        return [*self.own_target(), *self.state.forward_targets.sample(now)]
+        return self.state.forward_targets.sample(now, self.own_target())
 
     def for_hubs(self, now: float) -> list[ForwardTarget]:
         """Return targets in this failure domain, if another one needs them."""
@@ -92,13 +92,14 @@
         )
         if not others_need:
             return []
-        targets = self.state.forward_targets
-        domain = self.state.settings.domain
-        return [*self.own_target(), *targets.sample(now, domain)]
+        return self.state.forward_targets.sample(
+            now, self.own_target(), self.state.settings.domain
+        )
 
-    def own_target(self) -> list[ForwardTarget]:
+    def own_target(self) -> frozenset[ForwardTarget]:
         """Return this instance, if it takes requests."""
         address = forward_address(self.state)
         if not address:
-            return []
-        return [ForwardTarget(address, self.state.settings.domain)]
+            return frozenset()
+        target = ForwardTarget(address, self.state.settings.domain)
+        return frozenset((target,))
--- a/cranberryrelay/relay/_forward_targets.py
+++ b/cranberryrelay/relay/_forward_targets.py
@@ -98,16 +98,22 @@
         )
 
     def sample(
-        self, now: float, domain: str | None = None
+        self,
+        now: float,
+        own: frozenset[ForwardTarget],
+        domain: str | None = None,
     ) -> list[ForwardTarget]:
-        """Return some targets at random, of one failure domain if given."""
-        available = sorted(
+        """Return some targets at random, of one failure domain if given.
+
+        ``own`` is this instance, if it takes requests.
+        """
+        candidates = sorted(
             target
-            for target in self.available(now)
+            for target in self.available(now) | own
             if domain in {None, target.domain}
         )
-        count = min(len(available), REPORTED_LIMIT)
-        return self.rng.sample(available, count)
+        count = min(len(candidates), REPORTED_LIMIT)
+        return self.rng.sample(candidates, count)
 
     @contextmanager
     def track(self, target: ForwardTarget) -> Iterator[None]:
