Keep in the store which software versions began which streams

Cause: what the instances knew of streams and versions lived in their memory only, and an instance that saw one version took that for proof that no other had served.

Change: the living instance with the first name writes a record for each service: the versions of the last minute, and while they differ the streams of each, every 0.25 s. A new instance loads it; until the record or a peer has told it, a resumed stream is unknown. Versions that serve now always count.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -112,8 +112,12 @@
 
     async def open_caller_stream(self) -> Result[UpstreamResponse, Failure]:
         """Begin a stream, or go on with one at the version that began it."""
-        found = self.context.state.stream_versions.find_version(
-            self.admitted.request, self.admitted.service
+        state = self.context.state
+        engines = state.fleet.eligible(
+            self.admitted.service, Role.DECODE, self.context.timers.now()
+        )
+        found = state.stream_versions.find_version(
+            self.admitted.request, self.admitted.service, engines
         )
         if isinstance(found, Err):
             return found
--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -11,7 +11,6 @@
 from cranberryrelay.relay._membership import Membership
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
-from cranberryrelay.relay._stream_versions import StreamSummary
 from cranberryrelay.timing import TimerService
 
 
@@ -69,9 +68,8 @@
             state.crash_suspects.summarize(now),
             state.rate_limits.summarize(),
         )
-        streams = state.stream_versions.summarize()
-        if streams:
-            self.peers.send(name, StreamSummary(streams))
+        if state.stream_versions.informed:
+            self.peers.send(name, state.stream_versions.summarize())
 
     def handle_suspect_news(self, sender: str, news: SuspectNews) -> None:
         """Apply and forward a peer's news on suspect segments."""
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -459,9 +459,9 @@
 
 @dispatch_message.register
 def _(message: StreamSummary, protocol: PeerProtocol, sender: str) -> None:
-    protocol.state.stream_versions.apply_announced(
-        message.streams, protocol.timers.now()
-    )
+    versions = protocol.state.stream_versions
+    versions.apply_summary(message, protocol.timers.now())
+    versions.informed = True
 
 
 @dispatch_message.register
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -32,6 +32,7 @@
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import Decoders, StoreReplica
+from cranberryrelay.relay._stream_records import StreamRecorder
 from cranberryrelay.relay._upstream_call import make_upstream_client
 from cranberryrelay.relay._upstream_reach import LOOK_SECONDS, ReachMonitor
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
@@ -90,6 +91,7 @@
     """Serve callers until ``stop`` is set, then finish running requests."""
     state = RelayState(dependencies.settings)
     state.start_check.begin()
+    state.stream_versions.begin()
     knowledge = StoreReplica(state, dependencies.decoders)
     async with (
         open_timer_service() as timers,
@@ -118,6 +120,9 @@
             nursery.start_soon(
                 NoteArchive(dependencies.store, duties, timers).run
             )
+            nursery.start_soon(
+                StreamRecorder(dependencies.store, duties, timers).run
+            )
             nursery.start_soon(keep_registered, dependencies.store, peers)
             await _serve_callers(tools, peers, stop)
             await account.write()
--- a/cranberryrelay/relay/_stream_versions.py
+++ b/cranberryrelay/relay/_stream_versions.py
@@ -3,7 +3,9 @@
 A stream may go on only at engines of the version that began it. A client may
 take its stream up at any instance, so while engines of several versions serve,
 the instances tell each other which version began which stream. Nothing is sent
-while all engines of a service have one version.
+while all engines of a service have one version. An instance that has started
+learns from the store or a peer which versions served before; until then it does
+not take a single version for the only one.
 """
 
 from collections.abc import Iterable
@@ -51,6 +53,9 @@
     # The newest streams.
     streams: list[AnnouncedStreams]
 
+    # Software versions that served recently, by service.
+    versions: dict[str, list[str]]
+
 
 class BegunStream(NamedTuple):
     """A stream that an engine has begun."""
@@ -71,11 +76,34 @@
     def __init__(self) -> None:
         self.streams: dict[int, BegunStream] = {}
         self.unannounced: list[int] = []
+
+        # Whether this instance knows the versions that served before it
+        # started.
+        self.informed = True
         self.last_seen: dict[str, dict[str, float]] = {}
         self.observed_at = float('-inf')
         self.allowance = float(0)
         self.allowance_at = float('-inf')
 
+    def begin(self) -> None:
+        """Treat streams as unknown until told which versions served."""
+        self.informed = False
+
+    def known_versions(self) -> dict[str, list[str]]:
+        """Return the versions that served recently, by service."""
+        return {
+            service: sorted(versions)
+            for service, versions in self.last_seen.items()
+        }
+
+    def apply_summary(self, summary: StreamSummary, now: float) -> None:
+        """Record what an earlier instance or a peer knew."""
+        for service, versions in summary.versions.items():
+            seen = self.last_seen.setdefault(service, {})
+            for version in versions:
+                seen.setdefault(version, now)
+        self.apply_announced(summary.streams, now)
+
     def record_begun(
         self, stream_id: str, engine: Upstream, now: float
     ) -> None:
@@ -119,24 +147,33 @@
         ]
 
     def find_version(
-        self, request: IncomingRequest, service: str
+        self,
+        request: IncomingRequest,
+        service: str,
+        upstreams: Iterable[Upstream],
     ) -> Result[str | None, Failure]:
         """Return the version at which a request must run; None for any.
 
+        ``upstreams`` are those that serve now, as the versions in service are
+        recorded only from time to time.
+
         Errors: ``STREAM_VERSION_UNKNOWN`` for a stream that this instance does
-        not know while several versions serve.
+        not know while several versions serve, or may have served lately.
         """
         if request.last_event_number is None:
             return Ok(None)
         known = self.streams.get(digest_text(request.stream_id()))
         if known is not None:
             return Ok(known.version)
-        versions = self.last_seen.get(service, {})
-        if len(versions) <= 1:
+        versions = {
+            *self.last_seen.get(service, {}),
+            *(one.software_version for one in upstreams),
+        }
+        if self.informed and len(versions) <= 1:
             return Ok(None)
         detail = (
-            f'stream {request.stream_id()} is unknown and engines of the '
-            f'versions {sorted(versions)} serve'
+            f'stream {request.stream_id()} is unknown; engines of the versions '
+            f'{sorted(versions)} served, all known: {self.informed}'
         )
         return Err(fail(ResultCode.STREAM_VERSION_UNKNOWN, detail))
 
@@ -165,14 +202,15 @@
         ]
         return self.group(taken)
 
-    def summarize(self) -> list[AnnouncedStreams]:
-        """Return the newest streams of services with several versions."""
+    def summarize(self) -> StreamSummary:
+        """Return all versions, and the newest streams where they differ."""
         mixed = [
             digest
             for digest, stream in self.streams.items()
             if self.is_mixed(stream.service)
         ]
-        return self.group(mixed[-SUMMARY_LIMIT:])
+        streams = self.group(mixed[-SUMMARY_LIMIT:])
+        return StreamSummary(streams, self.known_versions())
 
     def is_mixed(self, service: str) -> bool:
         """Return whether engines of several versions served recently."""
--- a/cranberryrelay/relay/tests/test_software_versions.py
+++ b/cranberryrelay/relay/tests/test_software_versions.py
@@ -259,6 +259,19 @@
         outcome = trio.run(run_attempt, state, Engines(''), Attempt('r0', 2))
         self.assertEqual(outcome.last_event, len(EVENTS))
 
+    # A version that serves, but was not there when versions were recorded.
+    def test_unknown_stream_is_refused_once_another_version_serves(
+        self,
+    ) -> None:
+        versions = make_state().stream_versions
+        versions.observe([make_engine('d1', 'old')], 0)
+        arrival = make_arrival('r1', WORK)._replace(last_event_number=2)
+        serving = [make_engine('d2', 'other')]
+        found = versions.find_version(arrival, 's', serving)
+        self.assertEqual(
+            found.unwrap_err().code, ResultCode.STREAM_VERSION_UNKNOWN
+        )
+
     # A prefill in vain for a stream that cannot go on anywhere.
     def test_stream_of_a_version_without_decode_engine_is_refused(self) -> None:
         state = make_state(('d2', 'other'))
