Write the stream records again that a restored store has lost

In a later era everything is written again; a changed record is merged first. Both rows of the test failed before.

--- a/cranberryrelay/relay/_stream_records.py
+++ b/cranberryrelay/relay/_stream_records.py
@@ -68,16 +68,28 @@
         self.records: dict[str, KindRecord] = {}
         self.written: dict[str, StreamRecordFields] = {}
         self.failing = False
+        self.era = -1
 
     async def run(self) -> None:
         """Load the records, then write them until cancelled."""
         while not await self.load():
             await self.timers.pause(LOAD_RETRY_SECONDS)
         async for _ in self.timers.subscribe(WRITE_SECONDS):
+            self.update_era()
             if self.duties.standby_index() == 0:
                 for service in list(self.versions.last_seen):
                     await self.write(service)
 
+    def update_era(self) -> None:
+        """Write all records again in a later era of the store.
+
+        A store that is restored from an older copy may have lost them.
+        """
+        era = self.duties.protocol.store_replica.known_era()
+        if era > self.era:
+            self.written.clear()
+        self.era = era
+
     async def load(self) -> bool:
         """Read all records; return False if the store does not answer."""
         listed = await self.store.list_kind(STREAMS_KIND)
--- a/cranberryrelay/relay/tests/test_stream_records.py
+++ b/cranberryrelay/relay/tests/test_stream_records.py
@@ -5,8 +5,9 @@
 could go on.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 from unittest import TestCase
@@ -23,6 +24,8 @@
     STREAMS_KIND,
     WRITE_SECONDS,
     StreamRecorder,
+    StreamRecordFields,
+    decode_record,
 )
 from cranberryrelay.relay.tests.fixtures import make_settings
 from cranberryrelay.relay.tests.test_model_path import EVENTS, Engines
@@ -41,6 +44,7 @@
 # The stream 'at-old' has begun at the one version, 'at-other' at the other.
 AT_OLD = 'at-old'
 AT_OTHER = 'at-other'
+RUN_SECONDS = 4 * WRITE_SECONDS
 UNKNOWN = ResultCode.STREAM_VERSION_UNKNOWN
 
 
@@ -73,9 +77,11 @@
 
 
 @asynccontextmanager
-async def open_store() -> AsyncIterator[TargetStore]:
+async def open_store(
+    stand_in: TargetStoreStandIn | None = None,
+) -> AsyncIterator[TargetStore]:
     """Open a store stand-in."""
-    app: Any = make_target_store_app(TargetStoreStandIn())
+    app: Any = make_target_store_app(stand_in or TargetStoreStandIn())
     transport = httpx.ASGITransport(app)
     async with httpx.AsyncClient(
         transport=transport, base_url='http://s'
@@ -92,17 +98,27 @@
     return state
 
 
+def first_era() -> int:
+    """Return the era of a store that was never restored."""
+    return 1
+
+
 def be_first() -> int:
     """Return the index of the instance that does fleet-wide tasks."""
     return 0
 
 
-async def run_recorder(store: TargetStore, state: RelayState) -> None:
+async def run_recorder(
+    store: TargetStore,
+    state: RelayState,
+    read_era: Callable[[], int] = first_era,
+) -> None:
     """Run the recorder of an instance for a while, then kill it."""
-    protocol = SimpleNamespace(state=state)
+    replica = SimpleNamespace(known_era=read_era)
+    protocol = SimpleNamespace(state=state, store_replica=replica)
     duties: Any = SimpleNamespace(protocol=protocol, standby_index=be_first)
     async with open_timer_service() as timers:
-        with trio.move_on_after(3 * WRITE_SECONDS):
+        with trio.move_on_after(RUN_SECONDS):
             await StreamRecorder(store, duties, timers).run()
 
 
@@ -133,6 +149,26 @@
     return outcome.failure.code if outcome.failure else None
 
 
+async def restore_store(*, recorded_before: bool) -> StreamRecordFields | None:
+    """Restore the store from a copy; return the record some time later."""
+    stand_in = TargetStoreStandIn()
+    state = start_instance(OLD, OTHER)
+    upstreams = state.fleet.upstreams.values()
+    state.stream_versions.observe(upstreams, trio.current_time())
+    async with open_store(stand_in) as store, trio.open_nursery() as nursery:
+        copied = stand_in.copy()
+        if recorded_before:
+            fields = StreamRecordFields(versions=['old'], streams={})
+            await store.create(STREAMS_KIND, 's', fields)
+            copied = stand_in.copy()
+        nursery.start_soon(run_recorder, store, state, lambda: stand_in.era)
+        await trio.sleep(RUN_SECONDS / 2)
+        stand_in.restore(copied)
+        await trio.sleep(RUN_SECONDS / 2)
+        found = await store.read(STREAMS_KIND, 's')
+        return decode_record(found.unwrap()) if found.is_ok() else None
+
+
 async def load_invalid_record() -> bool:
     """Return whether an instance learns from the records that are valid."""
     async with open_store() as store:
@@ -160,6 +196,17 @@
     def test_stream_is_unknown_until_versions_are_known(self) -> None:
         self.assertEqual(trio.run(take_up_before_loading), UNKNOWN)
 
+    # Guards against a restored store that lacks a version or the whole record.
+    @params(False, True)
+    def test_record_is_written_again_after_a_restore(
+        self, recorded_before: bool
+    ) -> None:
+        fields = trio.run(
+            partial(restore_store, recorded_before=recorded_before)
+        )
+        assert fields is not None
+        self.assertEqual(fields['versions'], ['old', 'other'])
+
     # Guards against instances that never serve resumed streams again because
     # of a record that cannot be read.
     def test_invalid_record_is_skipped(self) -> None:
