Tell suspects and limits to each instance that greets a hub

In a fleet with hubs an instance that starts asks only its seeds for an answer, as the rest would all answer at once. With stale seeds it was told of no request that crashes upstreams, and passed it on. A hub that it greets now tells it what is known about suspects and limits.

Test: an instance restarted after the news, full mesh of 7, and a member and a hub of 21; the two rows with hubs failed before.

--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -59,8 +59,8 @@
             versions.take_announcements(state.live_instances, now)
         )
 
-    def send_summary(self, name: str) -> None:
-        """Tell an instance that has just started all that is known."""
+    def send_upstream_news(self, name: str) -> None:
+        """Tell an instance all that is known about suspects and limits."""
         state = self.peers.state
         now = self.peers.timers.now()
         self.send_to(
@@ -68,6 +68,11 @@
             state.crash_suspects.summarize(now),
             state.rate_limits.summarize(),
         )
+
+    def send_summary(self, name: str) -> None:
+        """Tell an instance that has just started all that is known."""
+        self.send_upstream_news(name)
+        state = self.peers.state
         if state.stream_versions.informed:
             self.peers.send(name, state.stream_versions.summarize())
 
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -134,6 +134,11 @@
             self.send_hello(sender, hello.location.address, answer=False)
             self.news_exchange.send_summary(sender)
             self.state.request_heartbeat()
+        elif self.membership.uses_hubs and self.membership.is_hub(
+            self.timers.now()
+        ):
+            # An instance that starts asks only its seeds for answers.
+            self.news_exchange.send_upstream_news(sender)
         for name in self.add_peers(hello.known):
             self.send_hello(name, hello.known[name].address)
         self.update_live_instances()
