Replace a lost hub within two rounds of heartbeats

When a hub was lost, members acted as hubs beside its successor, each waiting for the next heartbeat: up to 0.4 s to greet the successor and 0.4 s for its answer, so that 1.5 s after the kill two hubs were left in some runs. A member that looks for its hub now sends with each tick, and an instance answers a new member with its next tick.

--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -218,6 +218,14 @@
                 return name
         return None
 
+    def is_looking_for_hub(self, now: float) -> bool:
+        """Return whether names that precede this one have not answered yet."""
+        if not self.uses_hubs or self.leaving:
+            return False
+        return self.own_hub(now) is None and bool(
+            self.hub_candidates(self.domain, now)
+        )
+
     def is_hub(self, now: float) -> bool:
         """Return whether this instance is the hub of its failure domain."""
         return not self.leaving and self.own_hub(now) is None
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -52,6 +52,9 @@
 # gets heartbeats at all is sent several in this time.
 UNUSED_CONNECTION_SECONDS: Final = 4.0
 
+# Count of sent changes that differs from any, so that a heartbeat is due.
+UNANSWERED: Final = -1
+
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -159,6 +162,9 @@
         self.membership.record_load_beat(sender)
         delay = REPAIR_DELAY_SECONDS
         if self.membership.uses_hubs and self.membership.in_own_domain(sender):
+            if sender not in self.group_hub.members:
+                # Until it is answered, the new member may act as hub as well.
+                self.sent_group_changes = UNANSWERED
             self.group_hub.record_member(sender, heartbeat.update, now)
             self.redirect_to_hub(sender, now)
             delay = 0
@@ -243,6 +249,8 @@
         )
         if now - self.last_heartbeat_at >= longest_interval:
             return True
+        if self.membership.is_looking_for_hub(now):
+            return True
         changed = self.state.backlog.change_count != self.sent_changes
         return changed or not self.state.peer_update.is_empty()
 
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -20,8 +20,11 @@
 from cranberryrelay.relay import Decoders, KindListing, RecordChange, Role
 from cranberryrelay.relay._backlog import InFlightCall
 from cranberryrelay.relay._duties import NOT_ELIGIBLE, Duties
-from cranberryrelay.relay._membership import InstanceLocation
-from cranberryrelay.relay._peer_protocol import PeerProtocol
+from cranberryrelay.relay._membership import (
+    RESPONSIVE_SECONDS,
+    InstanceLocation,
+)
+from cranberryrelay.relay._peer_protocol import HEARTBEAT_SECONDS, PeerProtocol
 from cranberryrelay.relay._prefix_index import CachedSegment
 from cranberryrelay.relay._registration import send_hello_to_listed
 from cranberryrelay.relay._state import RelayState
@@ -36,6 +39,10 @@
 
 # Time within which a change must be known to all instances.
 CONVERGENCE_SECONDS = 1.5
+
+# Silence after which a hub counts as lost, the heartbeats that notice it and
+# that answer, and one for those that fall on the end.
+REPLACEMENT_SECONDS = RESPONSIVE_SECONDS + 3 * HEARTBEAT_SECONDS
 SENT = InFlightCall(0.3, 0)
 
 
@@ -317,6 +324,23 @@
         nursery.cancel_scope.cancel()
 
 
+class HubLossTest(TestCase):
+    """The time from the loss of a hub until there is one again."""
+
+    # Guards against members that act as hubs because they wait for their next
+    # heartbeats; the moment of the loss lies anywhere between two of the hub's.
+    @params(0, 0.1, 0.2, 0.3)
+    def test_next_name_is_the_only_hub(self, moment: float) -> None:
+        async def lose_hub(fleet: Fleet) -> None:
+            await trio.sleep(moment)
+            fleet.kill('front-b-00')
+            await trio.sleep(REPLACEMENT_SECONDS)
+            hubs = [name for name in fleet.hubs() if '-b-' in name]
+            assert hubs == ['front-b-01'], hubs
+
+        trio.run(run_scenario, lose_hub, clock=MockClock(autojump_threshold=0))
+
+
 class GroupTalkTest(TestCase):
     """Hubs of a large fleet."""
 
