Do not report the sums of hubs on to other instances

Cause: a hub that comes back and its successor take each other for hub and member for some seconds. What a hub told a member, the sum over the fleet, was kept like a member's own load, so the member, a hub itself, sent it back within its own sum: larger with each heartbeat.

Change: sums of a hub are kept apart, used for forecasts and never reported on.

Test: ReturningHubTest; before, a forecast of 4.5 s for 1.2 s of work 0.1 s after the hub was back (at most 2.4 s allowed); after, it passes.

--- a/cranberryrelay/relay/_backlog.py
+++ b/cranberryrelay/relay/_backlog.py
@@ -58,6 +58,11 @@
     def __init__(self) -> None:
         self.own_calls: dict[str, list[InFlightCall]] = {}
         self.peer_reports: dict[str, _PeerReport] = {}
+
+        # Reports of instances that act as this one's hub, which sum up many.
+        # They are never reported on: two instances may take each other for
+        # hub and member, and would add each other's sums to their own.
+        self.fleet_reports: dict[str, _PeerReport] = {}
         self.change_count = 0
         self.report_count = 0
 
@@ -89,9 +94,16 @@
         self.peer_reports[peer] = _PeerReport(loads, now)
         self.report_count += 1
 
+    def apply_fleet_report(
+        self, peer: str, loads: dict[str, EngineLoad], now: float
+    ) -> None:
+        """Replace the report of a hub on the loads of all other instances."""
+        self.fleet_reports[peer] = _PeerReport(loads, now)
+
     def remove_peer(self, peer: str) -> None:
-        """Drop the load report of a peer that has left."""
+        """Drop the load reports of a peer that has left."""
         self.peer_reports.pop(peer, None)
+        self.fleet_reports.pop(peer, None)
 
     def running_requests(self, upstream: str, now: float) -> int:
         """Return the number of calls in flight at an upstream."""
@@ -131,25 +143,41 @@
         combined: dict[str, EngineLoad] = {}
         for upstream in upstreams:
             combined[upstream] = EngineLoad(0, 0, 0, 0)
-            for load in self._loads(upstream, now, peer):
+            for load in self._reportable_loads(upstream, now, peer):
                 combined[upstream] = _combine(combined[upstream], load)
         return combined
 
-    def _loads(
+    def _loads(self, upstream: str, now: float) -> list[EngineLoad]:
+        return [
+            *self._reportable_loads(upstream, now),
+            *_current_loads(self.fleet_reports, upstream, now),
+        ]
+
+    def _reportable_loads(
         self, upstream: str, now: float, excluded_peer: str = ''
     ) -> list[EngineLoad]:
-        loads: list[EngineLoad] = []
+        loads = _current_loads(self.peer_reports, upstream, now, excluded_peer)
         own = self.own_calls.get(upstream)
         if own:
             loads.append(_summarize(own, now))
-        for name, peer in self.peer_reports.items():
-            age = now - peer.received_at
-            load = peer.loads.get(upstream)
-            if load and age < PEER_TTL_SECONDS and name != excluded_peer:
-                loads.append(_advance(load, age))
         return loads
 
 
+def _current_loads(
+    reports: dict[str, _PeerReport],
+    upstream: str,
+    now: float,
+    excluded_peer: str = '',
+) -> list[EngineLoad]:
+    loads: list[EngineLoad] = []
+    for name, peer in reports.items():
+        age = now - peer.received_at
+        load = peer.loads.get(upstream)
+        if load and age < PEER_TTL_SECONDS and name != excluded_peer:
+            loads.append(_advance(load, age))
+    return loads
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * _MILLISECONDS)
 
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -176,12 +176,14 @@
             return
         now = self.timers.now()
         self.state.start_check.record_peer(heartbeat.revision)
-        self.state.backlog.apply_report(sender, heartbeat.loads, now)
+        backlog = self.state.backlog
         self.state.apply_peer_update(heartbeat.update, now)
         self.forward_reports.record_group_beat(sender, heartbeat, now)
         if self.membership.in_own_domain(sender):
+            backlog.apply_fleet_report(sender, heartbeat.loads, now)
             self.apply_hub_heartbeat(heartbeat)
             return
+        backlog.apply_report(sender, heartbeat.loads, now)
         report = HubReport(heartbeat.instances, heartbeat.store_reachable, now)
         self.group_hub.record_hub_report(sender, report, heartbeat.update)
         self.redirect_to_hub(sender, now)
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -44,6 +44,7 @@
 # that answer, and one for those that fall on the end.
 REPLACEMENT_SECONDS = RESPONSIVE_SECONDS + 3 * HEARTBEAT_SECONDS
 SENT = InFlightCall(0.3, 0)
+LOADED = ('front-a-03', 'front-b-01', 'front-b-02', 'front-d-07')
 
 
 class FakeNetwork:
@@ -341,6 +342,39 @@
         trio.run(run_scenario, lose_hub, clock=MockClock(autojump_threshold=0))
 
 
+class ReturningHubTest(TestCase):
+    """A hub that was replaced comes back."""
+
+    # Guards against loads that two instances which take each other for hub and
+    # member send back and forth, each time larger.
+    def test_loads_do_not_add_up(self) -> None:
+        trio.run(
+            run_scenario,
+            hub_returns,
+            clock=MockClock(autojump_threshold=0),
+        )
+
+
+async def hub_returns(fleet: Fleet) -> None:
+    """Replace a hub as planned; look at the forecasts all the while."""
+    for name in LOADED:
+        fleet.protocols[name].state.backlog.add('engine', SENT)
+    timers = fleet.protocols['front-b-00'].timers
+    fleet.protocols['front-b-00'].send_farewell()
+    await trio.sleep(CONVERGENCE_SECONDS)
+    fleet.kill('front-b-00')
+    await fleet.start('front-b-00', timers)
+    sent_ms = round(len(LOADED) * SENT.prefill_seconds * 1000)
+    for _ in range(30):
+        await trio.sleep(0.1)
+        for name in LOADED:
+            backlog = fleet.protocols[name].state.backlog
+            backlog.remove('engine', SENT)
+            backlog.add('engine', SENT)
+        waits_ms = fleet.waits_ms('engine')
+        assert max(waits_ms) <= 2 * sent_ms, waits_ms
+
+
 class GroupTalkTest(TestCase):
     """Hubs of a large fleet."""
 
