List engines only for streams that are taken up again

Every new stream listed all decode engines of its service twice, for a version that only a resumed stream has; at 10,000 engines that is work for each request. Once since streams of a whole loss are looked up by the engines that serve, once since versions are told apart. No decision changes; the tests of versions, stream records and the model path pass.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -112,6 +112,8 @@
 
     async def open_caller_stream(self) -> Result[UpstreamResponse, Failure]:
         """Begin a stream, or go on with one at the version that began it."""
+        if self.admitted.request.last_event_number is None:
+            return await self.open_stream()
         state = self.context.state
         engines = state.fleet.eligible(
             self.admitted.service, Role.DECODE, self.context.timers.now()
@@ -126,10 +128,12 @@
 
     def has_engine_of_version(self) -> bool:
         """Return whether an engine that may continue the stream is known."""
+        if self.version is None:
+            return True
         engines = self.context.state.fleet.eligible(
             self.admitted.service, Role.DECODE, self.context.timers.now()
         )
-        return self.version is None or any(
+        return any(
             engine.software_version == self.version for engine in engines
         )
 
