Probe an upstream once after it broke a run off

A plain call probed when its run broke off and again before its next attempt, and a model request before each of its steps. Where the upstream does not answer each probe takes its whole 0.25 s of the caller's time and tells nothing new.

--- a/cranberryrelay/relay/_clearance.py
+++ b/cranberryrelay/relay/_clearance.py
@@ -62,6 +62,9 @@
         self.unconfirmed_until = float('-inf')
         self.interrupted_by: Upstream | None = None
 
+        # Whether a probe of that upstream is due; it is probed once.
+        self.probe_due = False
+
     async def wait(self) -> Result[None, Failure]:
         """Wait until the request may be sent.
 
@@ -85,6 +88,7 @@
         now = self.context.timers.now()
         if self.suspects.unproven_among(self.digests, now):
             self.interrupted_by = engine
+            self.probe_due = True
             self.unconfirmed_until = now + CONFIRMATION_SECONDS
             self.suspects.record_interrupted(
                 engine.incarnation_id(), self.digests, now, sent_at
@@ -95,8 +99,9 @@
         """Learn whether the upstream that broke the run off has ended."""
         engine = self.interrupted_by
         probe = self.context.probe
-        if engine is None or probe is None:
+        if engine is None or probe is None or not self.probe_due:
             return
+        self.probe_due = False
         if self.suspects.is_gone(engine.incarnation_id()):
             return
         accepted = await probe(engine.address)
