Handle forwarded requests by the same steps as those of callers

The handler of forwarded requests repeated that of callers: body, pipeline, refusal, answer. It now adds only its check, its count and the header that it takes off. An answer of a stopping peer now asks to close the connection as any other does; the connection is used once and the header ends at the sender.

--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -55,6 +55,9 @@
 class FrontRoutes:
     """Handlers for requests of callers."""
 
+    # Whether a request may be forwarded to a peer.
+    may_forward = True
+
     def __init__(self, context: RelayContext) -> None:
         self.context = context
         self.pipeline = RelayPipeline(context)
@@ -65,12 +68,18 @@
         stack: AsyncExitStack = request.scope['state'][_STACK]
         body: Any = await request.get_data(as_text=False)
         outcome = await self.pipeline.serve(
-            read_request(body, arrived_at), stack
+            self.read_request(body, arrived_at),
+            stack,
+            may_forward=self.may_forward,
         )
         if isinstance(outcome, Err):
             return self.refuse(outcome.unwrap_err())
         return self.close_if_draining(make_response(outcome.unwrap()))
 
+    def read_request(self, body: bytes, arrived_at: float) -> IncomingRequest:
+        """Read the request that is being handled."""
+        return read_request(body, arrived_at)
+
     def refuse(self, failure: Failure) -> Response:
         """Make an error response.
 
@@ -105,6 +114,8 @@
 class ForwardRoutes(FrontRoutes):
     """Handlers for requests that peers forward."""
 
+    may_forward = False
+
     async def handle_request(self) -> Response:
         """Handle a request of a peer that is cut off from upstreams."""
         obstacle = self.find_obstacle()
@@ -112,22 +123,19 @@
             refusal = self.refuse(fail(ResultCode.FORWARD_REFUSED, obstacle))
             refusal.headers[REFUSED_HEADER.decode()] = obstacle
             return refusal
-        arrived_at = self.context.timers.now()
         stack: AsyncExitStack = request.scope['state'][_STACK]
         stack.enter_context(self.context.state.forwarded.track())
-        body: Any = await request.get_data(as_text=False)
-        arrival = read_request(body, arrived_at)
+        return await super().handle_request()
+
+    def read_request(self, body: bytes, arrived_at: float) -> IncomingRequest:
+        """Read the request without the header for this instance alone."""
+        arrival = super().read_request(body, arrived_at)
         headers = [
             pair
             for pair in arrival.headers
             if pair[0].lower() != REVISION_HEADER
         ]
-        outcome = await self.pipeline.serve(
-            arrival._replace(headers=headers), stack, may_forward=False
-        )
-        if isinstance(outcome, Err):
-            return self.refuse(outcome.unwrap_err())
-        return make_response(outcome.unwrap())
+        return arrival._replace(headers=headers)
 
     def find_obstacle(self) -> str | None:
         """Return why a forwarded request is not taken; None if it is."""
