Ask about the links without changing what is known of them

is_suspicious dropped old failures on the way, and is_doubtful relied on having called it. Same answers; tests of the reach and of instances that are cut off pass.

--- a/cranberryrelay/relay/_upstream_reach.py
+++ b/cranberryrelay/relay/_upstream_reach.py
@@ -56,7 +56,17 @@
 
     def record_failure(self, upstream: str, now: float) -> None:
         """Record that an upstream could not be reached."""
-        self.failed_at[upstream] = now
+        recent = self.recent_failures(now)
+        self.failed_at = {**recent, upstream: now}
+
+    def recent_failures(self, now: float) -> dict[str, float]:
+        """Return the times of the failures that count, by upstream."""
+        oldest = now - FAILURE_WINDOW_SECONDS
+        return {
+            upstream: failed_at
+            for upstream, failed_at in self.failed_at.items()
+            if failed_at > oldest
+        }
 
     def is_doubtful(self, backlog: Backlog, now: float) -> bool:
         """Return whether the links may be to blame for recent failures.
@@ -65,18 +75,12 @@
         """
         if self.is_suspicious(backlog, now):
             return True
-        last_failure_at = max(self.failed_at.values(), default=float('-inf'))
-        return self.last_contact_at < last_failure_at
+        failures = self.recent_failures(now).values()
+        return self.last_contact_at < max(failures, default=float('-inf'))
 
     def is_suspicious(self, backlog: Backlog, now: float) -> bool:
         """Return whether several upstreams have failed or are silent."""
-        oldest = now - FAILURE_WINDOW_SECONDS
-        self.failed_at = {
-            upstream: failed_at
-            for upstream, failed_at in self.failed_at.items()
-            if failed_at > oldest
-        }
-        if len(self.failed_at) >= SUSPICIOUS_UPSTREAMS:
+        if len(self.recent_failures(now)) >= SUSPICIOUS_UPSTREAMS:
             return True
         latest = now - SILENCE_SECONDS
         if self.last_contact_at > latest:
