--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -205,7 +205,7 @@
         """Send heartbeats until this instance is about to stop."""
         async for now in self.timers.subscribe(HEARTBEAT_SECONDS):
             for name in self.membership.remove_unresponsive(now):
-                self.forget_peer(name)
+                forget_peer(self, name)
                 _LOG.info('peer removed', extra={'peer': name})
             self.group_hub.remove_expired(now)
             self.state.crash_suspects.drop_unconfirmed(now)
@@ -222,12 +222,6 @@
                 self.send_group_heartbeats(now)
                 self.close_unused_connections(now)
 
-    def forget_peer(self, name: str) -> None:
-        """Drop what a peer that has ended or is leaving has reported."""
-        self.group_hub.members.pop(name, None)
-        self.state.backlog.remove_peer(name)
-        self.forward_reports.remove_peer(name)
-
     def log_hub(self, hub: str) -> None:
         """Log the hub of this instance when it changes."""
         if hub != self.logged_hub:
@@ -430,6 +424,13 @@
     return update
 
 
+def forget_peer(protocol: PeerProtocol, name: str) -> None:
+    """Drop what a peer that has ended or is leaving has reported."""
+    protocol.group_hub.members.pop(name, None)
+    protocol.state.backlog.remove_peer(name)
+    protocol.forward_reports.remove_peer(name)
+
+
 @singledispatch
 def dispatch_message(
     message: object, protocol: PeerProtocol, sender: str
@@ -488,5 +489,5 @@
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
     protocol.membership.remove(sender)
-    protocol.forget_peer(sender)
+    forget_peer(protocol, sender)
     protocol.update_live_instances()
