Derive whether a stream record must be written from the record itself

The recorder kept what it had written and the era beside the records that it had read, three copies of one thing. A record is now written if its content or its era differs from what the store is known to hold; a new first instance no longer writes what it has just loaded.

The tests of restored records pass.

--- a/cranberryrelay/relay/_stream_records.py
+++ b/cranberryrelay/relay/_stream_records.py
@@ -66,30 +66,17 @@
         self.timers = timers
         self.versions: StreamVersions = duties.protocol.state.stream_versions
         self.records: dict[str, KindRecord] = {}
-        self.written: dict[str, StreamRecordFields] = {}
         self.failing = False
-        self.era = -1
 
     async def run(self) -> None:
         """Load the records, then write them until cancelled."""
         while not await self.load():
             await self.timers.pause(LOAD_RETRY_SECONDS)
         async for _ in self.timers.subscribe(WRITE_SECONDS):
-            self.update_era()
             if self.duties.standby_index() == 0:
                 for service in list(self.versions.last_seen):
                     await self.write(service)
 
-    def update_era(self) -> None:
-        """Write all records again in a later era of the store.
-
-        A store that is restored from an older copy may have lost them.
-        """
-        era = self.duties.protocol.store_replica.known_era()
-        if era > self.era:
-            self.written.clear()
-        self.era = era
-
     async def load(self) -> bool:
         """Read all records; return False if the store does not answer."""
         listed = await self.store.list_kind(STREAMS_KIND)
@@ -124,11 +111,16 @@
         self.versions.apply_summary(summary, self.timers.now())
 
     async def write(self, service: str) -> None:
-        """Write the record of a service if its content has changed."""
+        """Write the record of a service if its content has changed.
+
+        One of an earlier era of the store is written again, as a store that is
+        restored from an older copy may have lost it.
+        """
         fields = make_record(self.versions, service)
-        if fields == self.written.get(service):
-            return
         known = self.records.get(service)
+        era = self.duties.protocol.store_replica.known_era()
+        if known and known.value == fields and known.position.era >= era:
+            return
         if known is None:
             outcome = await self.store.create(STREAMS_KIND, service, fields)
         else:
@@ -138,8 +130,7 @@
             await self.handle_failure(service, outcome.unwrap_err())
             return
         self.failing = False
-        self.records[service] = outcome.unwrap()
-        self.written[service] = fields
+        self.records[service] = outcome.unwrap()._replace(value=fields)
 
     async def handle_failure(self, service: str, failure: Failure) -> None:
         """Log the first failure in a row; merge a record that has changed."""
