--- a/cranberryrelay/relay/_crash_suspects.py
+++ b/cranberryrelay/relay/_crash_suspects.py
@@ -19,10 +19,8 @@
 from enum import Enum, auto
 from typing import Final, NamedTuple
 
-from cranberryrelay.policy import (
-    SuspectCrash,
-    SuspectRegistry,
-)
+from cranberryrelay.policy import SuspectCrash, SuspectRegistry
+from cranberryrelay.relay._answer_history import AnswerHistory
 
 # Events after which an engine has survived the start of an answer.
 PROOF_EVENTS: Final = 2
@@ -31,13 +29,6 @@
 # crashed on it.  Its entry in the store is removed after three heartbeats.
 CONFIRMATION_WINDOW_SECONDS: Final = 5.0
 
-# An upstream that answers without a longer gap has not restarted in between.
-RESTART_GAP_SECONDS: Final = 1.0
-
-# An answer counts as later than a crash only by more than this, as it may have
-# been on its way.
-ANSWER_TRANSIT_SECONDS: Final = 0.1
-
 # A digest with which a run succeeded within this time is not a suspect.
 PROOF_TTL_SECONDS: Final = 300.0
 PROOFS_LIMIT: Final = 8192
@@ -128,16 +119,6 @@
     sent_at: float
 
 
-class AnswerSeries(NamedTuple):
-    """Answers of an upstream without a gap long enough for a restart."""
-
-    # Time of the first answer, in seconds on the local clock.
-    began_at: float
-
-    # Time of the last answer, in seconds on the local clock.
-    last_at: float
-
-
 class CrashSuspects:
     """The suspects known to one instance; owned by a single task."""
 
@@ -152,7 +133,7 @@
         self.new_proofs: list[str] = []
         self.new_trials: list[str] = []
         self.new_refutations: list[str] = []
-        self.answers: OrderedDict[str, AnswerSeries] = OrderedDict()
+        self.answers = AnswerHistory()
         self.reported_crashes: dict[str, float] = {}
 
     def judge(self, digests: Iterable[str], now: float) -> Clearance:
@@ -219,14 +200,9 @@
         Refutes a crash across which it went on answering.
         """
         self.gone.pop(engine, None)
-        series = self.answers.pop(engine, AnswerSeries(now, now))
-        if now - series.last_at > RESTART_GAP_SECONDS:
-            series = AnswerSeries(now, now)
-        self.answers[engine] = series._replace(last_at=now)
-        oldest = now - CONFIRMATION_WINDOW_SECONDS
-        while next(iter(self.answers.values())).last_at < oldest:
-            self.answers.popitem(last=False)
-        if self._has_answered_across(engine, self.reported_crashes.get(engine)):
+        self.answers.record(engine, now)
+        crashed_at = self.reported_crashes.get(engine)
+        if crashed_at is not None and self.answers.spans(engine, crashed_at):
             self._refute(engine)
             self._announce_refutation(engine)
 
@@ -325,7 +301,7 @@
         if self._is_proven(crash.digest, now):
             self.new_proofs.append(crash.digest)
             return False
-        if self._has_answered_across(crash.engine, crash.crashed_at):
+        if self.answers.spans(crash.engine, crash.crashed_at):
             self._announce_refutation(crash.engine)
             return False
         return self._record_crash(crash)
@@ -351,15 +327,6 @@
         )
         return True
 
-    def _has_answered_across(
-        self, engine: str, crashed_at: float | None
-    ) -> bool:
-        series = self.answers.get(engine)
-        if series is None or crashed_at is None:
-            return False
-        later_at = crashed_at + ANSWER_TRANSIT_SECONDS
-        return series.began_at <= crashed_at and series.last_at > later_at
-
     def _announce_refutation(self, engine: str) -> None:
         if engine not in self.new_refutations:
             self.new_refutations.append(engine)
--- a/cranberryrelay/relay/tests/test_crash_suspects.py
+++ b/cranberryrelay/relay/tests/test_crash_suspects.py
@@ -11,9 +11,9 @@
 
 from cranberryrelay.policy import SUSPECT_TTL_SECONDS
 from cranberryrelay.relay import Role, Upstream
+from cranberryrelay.relay._answer_history import RESTART_GAP_SECONDS
 from cranberryrelay.relay._crash_suspects import (
     CONFIRMATION_WINDOW_SECONDS,
-    RESTART_GAP_SECONDS,
     TRIAL_SECONDS,
     Clearance,
     CrashSuspects,
