Record each request to an upstream where it is sent

Three paths recorded their sends by themselves and one place read what an answer says of the upstream. Both now happen in Attempts.open_response, with the incarnation that was asked, so that nothing sent to an upstream for a caller can go uncounted. An answer of another incarnation (421) no longer sets the rate limit of the one expected.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -37,25 +37,34 @@
         return self.admitted.remaining_seconds(self.context.timers.now())
 
     async def open_response(
-        self, call: UpstreamCall
+        self, upstream: Upstream, call: UpstreamCall
     ) -> Result[UpstreamResponse, Failure]:
-        """Send a call; records the rate limit that the response names."""
+        """Send a call; records the send and what the response says.
+
+        Every request of a caller to an upstream is sent here.
+        """
         sent_at = self.context.timers.now()
+        self.context.state.record_attempt(upstream.name, sent_at)
         return await open_response(
             self.context.client,
             self.context.dialect,
             call,
             self.admitted.stack,
-            partial(self.record_limit, call.upstream, sent_at),
+            partial(self.record_metadata, upstream, sent_at),
         )
 
-    def record_limit(
-        self, upstream: str, sent_at: float, metadata: ResponseMetadata
+    def record_metadata(
+        self, upstream: Upstream, sent_at: float, metadata: ResponseMetadata
     ) -> None:
-        """Record the rate limit that a response names, or that it has none."""
+        """Record what a response says of the upstream, also if it is an error.
+
+        Another incarnation speaks for itself, not for the one expected.
+        """
+        if metadata.misdirected:
+            return
         state = self.context.state
         state.rate_limits.record_answer(
-            upstream,
+            upstream.name,
             metadata.requests_per_second,
             sent_at,
             self.context.timers.now(),
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -242,10 +242,9 @@
         self.log.record_decode_engine(engine)
         sent = InFlightCall(0, self.context.timers.now())
         self.generation_sent_at = sent.sent_at
-        state.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         self.admitted.stack.callback(state.backlog.remove, engine.name, sent)
-        outcome = await self.open_response(call)
+        outcome = await self.open_response(engine, call)
         if isinstance(outcome, Err):
             failure = outcome.unwrap_err()
             if failure.code is ResultCode.UPSTREAM_FAILED:
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -83,7 +83,6 @@
         state = self.context.state
         sent = InFlightCall(0, self.context.timers.now())
         state.backlog.add(upstream.name, sent)
-        state.record_attempt(upstream.name, sent.sent_at)
         try:
             outcome = await self.exchange(upstream)
         finally:
@@ -109,7 +108,7 @@
             address=upstream.address,
             timeout_seconds=self.remaining_seconds(),
         )
-        opened = await self.open_response(call)
+        opened = await self.open_response(upstream, call)
         if isinstance(opened, Err):
             return opened
         response = opened.unwrap()
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -180,7 +180,6 @@
         self.record_segments(engine)
         sent = InFlightCall(chosen.read_seconds, self.context.timers.now())
         self.log.record_prefill_engine(chosen, sent.sent_at)
-        state.record_attempt(engine.name, sent.sent_at)
         state.backlog.add(engine.name, sent)
         if chosen.read_seconds > LONG_PROMPT_SECONDS:
             state.request_heartbeat()
@@ -216,7 +215,7 @@
             engine_priority=ENGINE_PRIORITIES[self.admitted.route.rank],
             prefill_only=True,
         )
-        outcome = await self.open_response(call)
+        outcome = await self.open_response(engine, call)
         if isinstance(outcome, Err):
             return outcome
         response = outcome.unwrap()
