Log the answers in which an upstream says that it leaves

Nothing could tell an instance that did not know of an engine's leaving from one that did and sent to it all the same. The header Server-Leaving is read, the incarnation remembered, and a request sent to it afterwards logged with the path that sent it. Nothing is decided by it yet.

--- a/cranberryrelay/platform/_dialect.py
+++ b/cranberryrelay/platform/_dialect.py
@@ -31,6 +31,7 @@
 _KV_SOURCE: Final = b'X-Cranberryrelay-Kv-Source'
 _KV_BACKUP: Final = b'X-Cranberryrelay-Kv-Backup'
 _SERVER_LIMIT: Final = b'Server-Limit'
+_SERVER_LEAVING: Final = b'Server-Leaving'
 _NOT_EXECUTED: Final = b'X-Cranberryrelay-Not-Executed'
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
@@ -68,6 +69,9 @@
 )
 _DECIMAL_NUMBER: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 _MISDIRECTED: Final = 421
+
+# Value of a header that states something by being there.
+_STATED: Final = '1'
 _MS_PER_SECOND: Final = 1000
 
 
@@ -132,6 +136,7 @@
                 pair for pair in headers if pair[0].lower() not in dropped
             ],
             requests_per_second=_parse_rate(headers),
+            leaving=_find_header(headers, _SERVER_LEAVING) == _STATED,
         )
 
     def decode_prefill(self, body: bytes) -> Result[PrefillResult, Failure]:
--- a/cranberryrelay/platform/tests/test_target_adapter.py
+++ b/cranberryrelay/platform/tests/test_target_adapter.py
@@ -234,3 +234,11 @@
         self.assertIn((b'X-Cranberryrelay-Kv-Backup', b'10.0.0.7:1'), headers)
         self.assertIn((b'Last-Event-Id', b'5'), headers)
         self.assertNotIn((b'Last-Event-Id', b'3'), headers)
+
+    # Guards against missing what an upstream says of itself, or reading it into
+    # a value that does not say it.
+    @params((b'1', True), (b' 1 ', True), (b'0', False), (b'', False))
+    def test_leaving_upstream(self, value: bytes, leaving: bool) -> None:
+        headers = [(b'server-leaving', value)]
+        metadata = TargetDialect().parse_response(200, headers)
+        self.assertEqual(metadata.leaving, leaving)
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -1,8 +1,9 @@
 """State shared by the attempts of one request: time left, budget, failures."""
 
+import logging
 from collections.abc import Callable
 from functools import partial
-from typing import TypeVar
+from typing import Final, TypeVar
 
 from result import Result
 
@@ -18,6 +19,7 @@
 from cranberryrelay.relay._upstream_call import UpstreamResponse, open_response
 
 Chosen = TypeVar('Chosen')
+_LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
 class Attempts:
@@ -45,6 +47,7 @@
         """
         sent_at = self.context.timers.now()
         self.context.state.record_attempt(upstream.name, sent_at)
+        self.log_objection(upstream)
         return await open_response(
             self.context.client,
             self.context.dialect,
@@ -69,8 +72,25 @@
             sent_at,
             self.context.timers.now(),
         )
+        if metadata.leaving:
+            state.fleet.departures.record(
+                upstream.incarnation_id(), self.context.timers.now()
+            )
         state.announce_news()
 
+    def log_objection(self, upstream: Upstream) -> None:
+        """Log a send to an upstream that has asked for no more requests."""
+        departures = self.context.state.fleet.departures
+        if departures.is_leaving(upstream.incarnation_id()):
+            _LOG.info(
+                'sent to a leaving upstream',
+                extra={
+                    'request_id': self.admitted.request.request_id,
+                    'upstream': upstream.name,
+                    'path': type(self).__name__,
+                },
+            )
+
     async def choose_within_limits(
         self, choose: Callable[[], Chosen | None], role: Role
     ) -> Chosen | None:
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -11,6 +11,7 @@
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._catalogue import Role, Upstream
+from cranberryrelay.relay._departures import Departures
 
 # Backoff of an unreachable upstream; doubles with each failure.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
@@ -73,6 +74,7 @@
     def __init__(self) -> None:
         self.upstreams: dict[str, Upstream] = {}
         self.health: dict[str, UpstreamHealth] = {}
+        self.departures = Departures()
         self.rng = random.Random()
         self.pending_role_changes: dict[str, PendingRoleChange] = {}
 
--- a/cranberryrelay/relay/_requests.py
+++ b/cranberryrelay/relay/_requests.py
@@ -151,6 +151,9 @@
     # None if it names no limit.
     requests_per_second: float | None = None
 
+    # Whether the upstream states that it is leaving.
+    leaving: bool = False
+
 
 class PrefillResult(NamedTuple):
     """The KV cache that a prefill left at an engine."""
