Send nothing to an upstream that says in an answer that it leaves

The word now holds for the incarnation, at once here and by a message of its own at all instances, and goes before the entry in the store, which may be older, unreadable or gone for a while. Answers to reports and orders are read too, and a leaving engine is given no order.

--- a/cranberryrelay/platform/_engine_control.py
+++ b/cranberryrelay/platform/_engine_control.py
@@ -11,10 +11,13 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform._dialect import TargetDialect
 from cranberryrelay.relay import (
     ORDER_TIMEOUT_SECONDS,
     EngineReport,
+    MetadataObserver,
     OrderOutcome,
+    ResponseMetadata,
     Role,
     RoleOrder,
     Upstream,
@@ -45,14 +48,18 @@
 
     def __init__(self, client: httpx.AsyncClient) -> None:
         self.client = client
+        self.dialect = TargetDialect()
 
-    async def report(self, engine: Upstream) -> Result[EngineReport, Failure]:
+    async def report(
+        self, engine: Upstream, observe: MetadataObserver
+    ) -> Result[EngineReport, Failure]:
         """Request the report of an engine; errors: ``UPSTREAM_FAILED``."""
         try:
             response = await self.client.get(
                 f'http://{engine.address}/v1/report',
                 headers={_EXPECT_INSTANCE: engine.name},
             )
+            observe(self.parse(response))
             report = msgspec.json.decode(response.content, type=_Report)
         except (httpx.HTTPError, msgspec.MsgspecError) as error:
             return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
@@ -65,7 +72,9 @@
             return Err(fail(ResultCode.UPSTREAM_FAILED, str(error)))
         return Ok(EngineReport(role, report.busy, report.sequence))
 
-    async def order(self, order: RoleOrder) -> Result[OrderOutcome, Failure]:
+    async def order(
+        self, order: RoleOrder, observe: MetadataObserver
+    ) -> Result[OrderOutcome, Failure]:
         """Send an order to an engine and return its reply.
 
         Errors: ``UPSTREAM_FAILED``; the engine may still execute the order.
@@ -88,9 +97,16 @@
             )
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
+        observe(self.parse(response))
         status = HTTPStatus(response.status_code)
         return Ok(_OUTCOMES_BY_STATUS.get(status, OrderOutcome.REFUSED))
 
+    def parse(self, response: httpx.Response) -> ResponseMetadata:
+        """Return what the headers of a response say of the engine."""
+        return self.dialect.parse_response(
+            response.status_code, response.headers.raw
+        )
+
 
 @asynccontextmanager
 async def open_engine_control() -> AsyncIterator[TargetEngineControl]:
--- a/cranberryrelay/relay/__init__.py
+++ b/cranberryrelay/relay/__init__.py
@@ -42,6 +42,7 @@
 from cranberryrelay.relay._requests import Dialect as Dialect
 from cranberryrelay.relay._requests import IncomingRequest as IncomingRequest
 from cranberryrelay.relay._requests import KvSource as KvSource
+from cranberryrelay.relay._requests import MetadataObserver as MetadataObserver
 from cranberryrelay.relay._requests import ModelRequest as ModelRequest
 from cranberryrelay.relay._requests import PrefillResult as PrefillResult
 from cranberryrelay.relay._requests import PromptSegment as PromptSegment
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -73,9 +73,7 @@
             self.context.timers.now(),
         )
         if metadata.leaving:
-            state.fleet.departures.record(
-                upstream.incarnation_id(), self.context.timers.now()
-            )
+            state.fleet.record_leaving(upstream, self.context.timers.now())
         state.announce_news()
 
     def log_objection(self, upstream: Upstream) -> None:
--- a/cranberryrelay/relay/_catalogue.py
+++ b/cranberryrelay/relay/_catalogue.py
@@ -209,6 +209,11 @@
         return f'{self.name}/{self.started_at_ms}'
 
 
+def name_of_incarnation(incarnation: str) -> str:
+    """Return the name in an id of ``Upstream.incarnation_id``."""
+    return incarnation.rpartition('/')[0]
+
+
 def _prefix_length(route: Route) -> int:
     return len(route.path_prefix)
 
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -10,8 +10,12 @@
 import random
 from typing import Final, NamedTuple
 
-from cranberryrelay.relay._catalogue import Role, Upstream
-from cranberryrelay.relay._departures import Departures
+from cranberryrelay.relay._catalogue import (
+    Role,
+    Upstream,
+    name_of_incarnation,
+)
+from cranberryrelay.relay._departures import DepartureNews, Departures
 
 # Backoff of an unreachable upstream; doubles with each failure.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
@@ -78,12 +82,15 @@
         self.rng = random.Random()
         self.pending_role_changes: dict[str, PendingRoleChange] = {}
 
-    def put(self, upstream: Upstream) -> None:
-        """Add or update an upstream.
+    def put(self, upstream: Upstream) -> Upstream:
+        """Add or update an upstream; return it as it now counts.
 
         A restart resets its health; a restart or a change of the role in its
-        entry ends a pending role change.
+        entry ends a pending role change. What it has said itself of its leaving
+        goes before its entry.
         """
+        if self.departures.is_leaving(upstream.incarnation_id()):
+            upstream = upstream._replace(leaving=True)
         known = self.upstreams.get(upstream.name)
         if known and known.started_at_ms != upstream.started_at_ms:
             self.health.pop(upstream.name, None)
@@ -91,6 +98,27 @@
         if known and known.role is not upstream.role:
             self.pending_role_changes.pop(upstream.name, None)
         self.upstreams[upstream.name] = upstream
+        return upstream
+
+    def record_leaving(self, upstream: Upstream, now: float) -> None:
+        """Record that an upstream has said in an answer that it is leaving."""
+        self.departures.record(upstream.incarnation_id(), now)
+        self.mark_leaving(upstream.incarnation_id())
+
+    def apply_departure_news(
+        self, news: DepartureNews, now: float
+    ) -> DepartureNews:
+        """Apply what a peer was told; return the part that was new here."""
+        new = self.departures.apply_news(news, now)
+        for incarnation in new.incarnations:
+            self.mark_leaving(incarnation)
+        return new
+
+    def mark_leaving(self, incarnation: str) -> None:
+        """Mark an incarnation as leaving, if it is the one known."""
+        known = self.upstreams.get(name_of_incarnation(incarnation))
+        if known and known.incarnation_id() == incarnation:
+            self.put(known)
 
     def remove(self, name: str) -> None:
         """Remove an upstream that has left."""
--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -1,18 +1,21 @@
 """Exchanges at once what the instances learn about the upstreams.
 
 Unlike what heartbeats carry, this must not wait for the next one: segments that
-crash engines, and rates that upstreams name.
+crash engines, rates that upstreams name, and upstreams that say they leave.
 """
 
 from typing import Any, Protocol
 
 from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._departures import DepartureNews
 from cranberryrelay.relay._group_hub import GroupHub
 from cranberryrelay.relay._membership import Membership
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.timing import TimerService
 
+News = SuspectNews | LimitNews | DepartureNews
+
 
 class PeerSender(Protocol):
     """What the exchange needs of the peer protocol."""
@@ -47,6 +50,7 @@
             self.peers.direct_recipients(),
             state.crash_suspects.take_news(now),
             state.rate_limits.take_news(),
+            state.fleet.departures.take_news(),
         )
 
     def queue_begun_streams(self) -> None:
@@ -60,13 +64,14 @@
         )
 
     def send_upstream_news(self, name: str) -> None:
-        """Tell an instance all that is known about suspects and limits."""
+        """Tell an instance all that upstreams were found or said to do."""
         state = self.peers.state
         now = self.peers.timers.now()
         self.send_to(
             [name],
             state.crash_suspects.summarize(now),
             state.rate_limits.summarize(),
+            state.fleet.departures.summarize(),
         )
 
     def send_summary(self, name: str) -> None:
@@ -88,7 +93,13 @@
         limits = self.peers.state.rate_limits
         self.forward(sender, limits.apply_news(news, now))
 
-    def forward(self, sender: str, news: SuspectNews | LimitNews) -> None:
+    def handle_departure_news(self, sender: str, news: DepartureNews) -> None:
+        """Apply and forward a peer's news on upstreams that leave."""
+        now = self.peers.timers.now()
+        fleet = self.peers.state.fleet
+        self.forward(sender, fleet.apply_departure_news(news, now))
+
+    def forward(self, sender: str, news: News) -> None:
         """Send news to those that the sender has not told, with hubs."""
         membership = self.peers.membership
         if not membership.uses_hubs:
@@ -98,9 +109,7 @@
             recipients = self.peers.direct_recipients()
         self.send_to([name for name in recipients if name != sender], news)
 
-    def send_to(
-        self, names: list[str], *messages: SuspectNews | LimitNews
-    ) -> None:
+    def send_to(self, names: list[str], *messages: News) -> None:
         """Send the messages that say something."""
         for message in messages:
             if not message.is_empty():
--- a/cranberryrelay/relay/_orders.py
+++ b/cranberryrelay/relay/_orders.py
@@ -7,6 +7,7 @@
 
 from cranberryrelay.codes import Failure
 from cranberryrelay.relay._catalogue import Role, Upstream
+from cranberryrelay.relay._requests import MetadataObserver
 
 
 class EngineReport(NamedTuple):
@@ -61,8 +62,15 @@
 class EngineControl(Protocol):
     """Control calls to engines, apart from callers' requests."""
 
-    async def report(self, engine: Upstream) -> Result[EngineReport, Failure]:
-        """Return an engine's current state; errors: ``UPSTREAM_FAILED``."""
+    async def report(
+        self, engine: Upstream, observe: MetadataObserver
+    ) -> Result[EngineReport, Failure]:
+        """Return an engine's current state; errors: ``UPSTREAM_FAILED``.
 
-    async def order(self, order: RoleOrder) -> Result[OrderOutcome, Failure]:
+        ``observe`` is told of the metadata of any response.
+        """
+
+    async def order(
+        self, order: RoleOrder, observe: MetadataObserver
+    ) -> Result[OrderOutcome, Failure]:
         """Send an order; after an error it may still be executed."""
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -5,6 +5,7 @@
 from cranberryrelay.relay._backlog import EngineLoad
 from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._departures import DepartureNews
 from cranberryrelay.relay._forward_targets import ForwardTarget
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._peer_update import PeerUpdate
@@ -133,4 +134,5 @@
     SuspectNews,
     LimitNews,
     StreamSummary,
+    DepartureNews,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -8,6 +8,7 @@
 from cranberryrelay.relay._anti_entropy import REPAIR_DELAY_SECONDS, AntiEntropy
 from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._crash_suspects import SuspectNews
+from cranberryrelay.relay._departures import DepartureNews
 from cranberryrelay.relay._forward_reports import (
     ForwardReports,
     forward_address,
@@ -479,6 +480,11 @@
     protocol.news_exchange.handle_limit_news(sender, message)
 
 
+@dispatch_message.register
+def _(message: DepartureNews, protocol: PeerProtocol, sender: str) -> None:
+    protocol.news_exchange.handle_departure_news(sender, message)
+
+
 @dispatch_message.register
 def _(message: StreamSummary, protocol: PeerProtocol, sender: str) -> None:
     versions = protocol.state.stream_versions
--- a/cranberryrelay/relay/_requests.py
+++ b/cranberryrelay/relay/_requests.py
@@ -3,7 +3,7 @@
 ``Dialect`` translates between these types and the headers on the wire.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from result import Result
@@ -155,6 +155,10 @@
     leaving: bool = False
 
 
+# Is told of the metadata of each response, also of one that is an error.
+MetadataObserver = Callable[[ResponseMetadata], None]
+
+
 class PrefillResult(NamedTuple):
     """The KV cache that a prefill left at an engine."""
 
--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -1,6 +1,7 @@
 """Brings the engines' roles to the plan, from one instance at a time."""
 
 import logging
+from functools import partial
 from typing import Final, NamedTuple
 
 from result import Err
@@ -14,6 +15,7 @@
     OrderOutcome,
     RoleOrder,
 )
+from cranberryrelay.relay._requests import ResponseMetadata
 from cranberryrelay.relay._role_planner import (
     ROLE_CHANGE_COOLDOWN_SECONDS,
     RoleChange,
@@ -124,9 +126,10 @@
     async def order_if_idle(self, change: RoleChange, token: int) -> None:
         """Send an order unless the engine is busy or already has the role."""
         engine = self.state.fleet.upstreams.get(change.engine)
-        if engine is None:
+        if engine is None or engine.leaving:
             return
-        answer = await self.control.report(engine)
+        observe = partial(self.record_metadata, engine)
+        answer = await self.control.report(engine, observe)
         if isinstance(answer, Err):
             _LOG.info(
                 'engine report unavailable',
@@ -142,6 +145,13 @@
         if self.lease.may_send_order():
             await self.send_order(engine, change, report, token)
 
+    def record_metadata(
+        self, engine: Upstream, metadata: ResponseMetadata
+    ) -> None:
+        """Record what an engine says of itself in a response."""
+        if metadata.leaving and not metadata.misdirected:
+            self.state.fleet.record_leaving(engine, self.timers.now())
+
     async def send_order(
         self,
         engine: Upstream,
@@ -160,7 +170,8 @@
             token=token,
             orders_accepted=report.orders_accepted,
         )
-        answer = await self.control.order(order)
+        observe = partial(self.record_metadata, engine)
+        answer = await self.control.order(order, observe)
         outcome = answer.unwrap_or(None)
         _LOG.info(
             'order',
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -211,7 +211,7 @@
             self.prefix_index.remove_engine(upstream.name)
             self.rate_limits.remove(upstream.name)
             self.record_gone(known)
-        self.fleet.put(upstream)
+        upstream = self.fleet.put(upstream)
         _LOG.info(
             'upstream changed',
             extra={
@@ -302,7 +302,11 @@
 
     def announce_news(self) -> None:
         """Tell the other instances at once what is new about upstreams."""
-        if self.crash_suspects.has_news() or self.rate_limits.news:
+        if (
+            self.crash_suspects.has_news()
+            or self.rate_limits.news
+            or self.fleet.departures.news
+        ):
             self.request_heartbeat()
 
     def record_success(self, name: str, now: float) -> None:
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -1,6 +1,6 @@
 """HTTP client for calls to upstreams."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from typing import Final, NamedTuple
 
@@ -10,6 +10,7 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._requests import (
     Dialect,
+    MetadataObserver,
     RawHeaders,
     ResponseMetadata,
     UpstreamCall,
@@ -36,9 +37,6 @@
 )
 
 
-MetadataObserver = Callable[[ResponseMetadata], None]
-
-
 class UpstreamResponse(NamedTuple):
     """A response whose headers have arrived and whose body is open."""
 
