Log the refusals in which an upstream asks for rest

A 503 with Retry-After is read and its end kept by incarnation; a request sent meanwhile is logged with the path that sent it. Nothing is decided by it yet.

--- a/cranberryrelay/platform/_dialect.py
+++ b/cranberryrelay/platform/_dialect.py
@@ -1,6 +1,7 @@
 """Translates the headers of requests and answers on the target platform."""
 
 import re
+from http import HTTPStatus
 from typing import Final
 
 import msgspec
@@ -32,6 +33,7 @@
 _KV_BACKUP: Final = b'X-Cranberryrelay-Kv-Backup'
 _SERVER_LIMIT: Final = b'Server-Limit'
 _SERVER_LEAVING: Final = b'Server-Leaving'
+_RETRY_AFTER: Final = b'Retry-After'
 _NOT_EXECUTED: Final = b'X-Cranberryrelay-Not-Executed'
 
 # Headers that apply to a single connection (RFC 9110, section 7.6.1).
@@ -135,8 +137,13 @@
             headers=[
                 pair for pair in headers if pair[0].lower() not in dropped
             ],
-            requests_per_second=_parse_rate(headers),
+            requests_per_second=_parse_decimal(headers, _SERVER_LIMIT),
             leaving=_find_header(headers, _SERVER_LEAVING) == _STATED,
+            rest_seconds=(
+                _parse_decimal(headers, _RETRY_AFTER)
+                if status == HTTPStatus.SERVICE_UNAVAILABLE
+                else None
+            ),
         )
 
     def decode_prefill(self, body: bytes) -> Result[PrefillResult, Failure]:
@@ -180,9 +187,9 @@
     return int(text) if text.isdecimal() else None
 
 
-def _parse_rate(headers: RawHeaders) -> float | None:
-    """Return the rate that an upstream names; None if it can't be read."""
-    text = _find_header(headers, _SERVER_LIMIT)
+def _parse_decimal(headers: RawHeaders, wanted: bytes) -> float | None:
+    """Return the number that a header holds; None if it can't be read."""
+    text = _find_header(headers, wanted)
     if not _DECIMAL_NUMBER.fullmatch(text):
         return None
     return float(text)
--- a/cranberryrelay/platform/tests/test_target_adapter.py
+++ b/cranberryrelay/platform/tests/test_target_adapter.py
@@ -242,3 +242,21 @@
         headers = [(b'server-leaving', value)]
         metadata = TargetDialect().parse_response(200, headers)
         self.assertEqual(metadata.leaving, leaving)
+
+    # Guards against overlooking that an upstream asks for rest, and against
+    # taking for it what a status or value does not say.
+    @params(
+        (503, b'3', 3.0),
+        (503, b'0.5', 0.5),
+        (503, b'', None),
+        (503, b'-1', None),
+        (503, b'Wed, 21 Oct 2026 07:28:00 GMT', None),
+        (200, b'3', None),
+        (429, b'3', None),
+    )
+    def test_resting_upstream(
+        self, status: int, value: bytes, seconds: float | None
+    ) -> None:
+        headers = [(b'Retry-After', value)]
+        metadata = TargetDialect().parse_response(status, headers)
+        self.assertEqual(metadata.rest_seconds, seconds)
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -47,7 +47,7 @@
         """
         sent_at = self.context.timers.now()
         self.context.state.record_attempt(upstream.name, sent_at)
-        self.log_objection(upstream)
+        self.log_objection(upstream, sent_at)
         return await open_response(
             self.context.client,
             self.context.dialect,
@@ -66,25 +66,27 @@
         if metadata.misdirected:
             return
         state = self.context.state
+        now = self.context.timers.now()
         state.rate_limits.record_answer(
-            upstream.name,
-            metadata.requests_per_second,
-            sent_at,
-            self.context.timers.now(),
+            upstream.name, metadata.requests_per_second, sent_at, now
         )
-        if metadata.leaving:
-            state.fleet.record_leaving(upstream, self.context.timers.now())
+        state.fleet.record_statements(upstream, metadata, now)
         state.announce_news()
 
-    def log_objection(self, upstream: Upstream) -> None:
+    def log_objection(self, upstream: Upstream, now: float) -> None:
         """Log a send to an upstream that has asked for no more requests."""
-        departures = self.context.state.fleet.departures
-        if departures.is_leaving(upstream.incarnation_id()):
+        fleet = self.context.state.fleet
+        incarnation = upstream.incarnation_id()
+        leaving = fleet.departures.is_leaving(incarnation)
+        resting = fleet.rests.is_resting(incarnation, now)
+        if leaving or resting:
             _LOG.info(
-                'sent to a leaving upstream',
+                'sent to an upstream that wants no requests',
                 extra={
                     'request_id': self.admitted.request.request_id,
                     'upstream': upstream.name,
+                    'leaving': leaving,
+                    'resting': resting,
                     'path': type(self).__name__,
                 },
             )
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -16,6 +16,8 @@
     name_of_incarnation,
 )
 from cranberryrelay.relay._departures import DepartureNews, Departures
+from cranberryrelay.relay._requests import ResponseMetadata
+from cranberryrelay.relay._rest_periods import RestPeriods
 
 # Backoff of an unreachable upstream; doubles with each failure.
 INITIAL_BACKOFF_SECONDS: Final = 0.5
@@ -79,6 +81,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self.health: dict[str, UpstreamHealth] = {}
         self.departures = Departures()
+        self.rests = RestPeriods()
         self.rng = random.Random()
         self.pending_role_changes: dict[str, PendingRoleChange] = {}
 
@@ -100,6 +103,21 @@
         self.upstreams[upstream.name] = upstream
         return upstream
 
+    def record_statements(
+        self, upstream: Upstream, metadata: ResponseMetadata, now: float
+    ) -> None:
+        """Record what an upstream says in a response of its own wishes.
+
+        Another incarnation speaks for itself, not for the one expected.
+        """
+        if metadata.misdirected:
+            return
+        if metadata.leaving:
+            self.record_leaving(upstream, now)
+        if metadata.rest_seconds is not None:
+            incarnation = upstream.incarnation_id()
+            self.rests.record(incarnation, metadata.rest_seconds, now)
+
     def record_leaving(self, upstream: Upstream, now: float) -> None:
         """Record that an upstream has said in an answer that it is leaving."""
         self.departures.record(upstream.incarnation_id(), now)
--- a/cranberryrelay/relay/_requests.py
+++ b/cranberryrelay/relay/_requests.py
@@ -154,6 +154,10 @@
     # Whether the upstream states that it is leaving.
     leaving: bool = False
 
+    # Seconds for which the upstream wants no requests from this instance; None
+    # if it does not ask for rest.
+    rest_seconds: float | None = None
+
 
 # Is told of the metadata of each response, also of one that is an error.
 MetadataObserver = Callable[[ResponseMetadata], None]
--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -148,9 +148,9 @@
     def record_metadata(
         self, engine: Upstream, metadata: ResponseMetadata
     ) -> None:
-        """Record what an engine says of itself in a response."""
-        if metadata.leaving and not metadata.misdirected:
-            self.state.fleet.record_leaving(engine, self.timers.now())
+        """Record what an engine says of its own wishes in a response."""
+        now = self.timers.now()
+        self.state.fleet.record_statements(engine, metadata, now)
 
     async def send_order(
         self,
