Send nothing to an upstream that asked this instance for rest

Operators saw engines that had asked for rest get up to 24 more requests in 3 s; callers of rested requests waited 1.4 s for a refusal that was certain. A refusal only raised the engine's error rate, which costs less than the queue of the others, and the choice fell back to engines that were out of the question when none was left.

An upstream that rests is no candidate for anything: prefill, generation, resumption from a backup, trials, reports and orders. If all of a role rest, the request is refused at once with 3116, not run, before its prompt is read, and told when the first rest ends; callers return by rank and spread, as the upstream would refuse a crowd again. Peers are not told: each instance is asked for itself.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -69,6 +69,7 @@
     STREAM_VERSION_UNKNOWN = 3113
     FORWARD_UNAVAILABLE = 3114
     FORWARD_REFUSED = 3115
+    UPSTREAMS_RESTING = 3116
 
     UPSTREAM_FAILED = 4101
     UPSTREAM_TIMEOUT = 4102
@@ -307,6 +308,12 @@
             _NOT_RUN,
             1,
         ),
+        ResultCode.UPSTREAMS_RESTING: CodeEntry(
+            'all upstreams that could serve the request asked for rest',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            3,
+        ),
         ResultCode.UPSTREAM_FAILED: CodeEntry(
             'the upstream failed', HTTPStatus.BAD_GATEWAY, _MAY_HAVE_RUN
         ),
@@ -389,6 +396,10 @@
     # Whether any part of the work may have run.
     ran: ExecutionState = ExecutionState.NOT_RUN
 
+    # Seconds after which the caller may come back; None for the time in the
+    # code's table entry.
+    retry_after_seconds: float | None = None
+
 
 def fail(
     code: ResultCode, detail: str, ran: ExecutionState | None = None
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -7,18 +7,22 @@
 
 from result import Result
 
-from cranberryrelay.codes import Failure
+from cranberryrelay.codes import Failure, ResultCode, fail
 from cranberryrelay.relay._admission_queue import (
     QUEUED_TIME_SHARE,
     RECHECK_SECONDS,
 )
 from cranberryrelay.relay._catalogue import Role, Upstream
 from cranberryrelay.relay._context import AdmittedRequest, RelayContext
+from cranberryrelay.relay._hashing import hash_to_unit_interval
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import ResponseMetadata, UpstreamCall
 from cranberryrelay.relay._upstream_call import UpstreamResponse, open_response
 
 Chosen = TypeVar('Chosen')
+
+# Time over which the callers of a rank return after a rest.
+RETURN_SPREAD_SECONDS: Final = 0.2
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -76,9 +80,8 @@
     def log_objection(self, upstream: Upstream, now: float) -> None:
         """Log a send to an upstream that has asked for no more requests."""
         fleet = self.context.state.fleet
-        incarnation = upstream.incarnation_id()
-        leaving = fleet.departures.is_leaving(incarnation)
-        resting = fleet.rests.is_resting(incarnation, now)
+        leaving = fleet.departures.is_leaving(upstream.incarnation_id())
+        resting = fleet.is_resting(upstream, now)
         if leaving or resting:
             _LOG.info(
                 'sent to an upstream that wants no requests',
@@ -120,6 +123,36 @@
             if upstream.name not in self.excluded
         )
 
+    def find_rest(
+        self, role: Role, version: str | None = None
+    ) -> Failure | None:
+        """Return the refusal if all upstreams of a role asked for rest.
+
+        Callers are told when the first rest ends. They return in the order of
+        their ranks, and spread within a rank, as the upstream would refuse
+        them all at once. ``version`` is the only software version that counts;
+        None for all.
+        """
+        now = self.context.timers.now()
+        fleet = self.context.state.fleet
+        service = self.admitted.service
+        ends_at = fleet.earliest_rest_end(
+            (
+                one
+                for one in fleet.eligible(service, role, now)
+                if version in {None, one.software_version}
+            ),
+            now,
+        )
+        if ends_at is None:
+            return None
+        share = hash_to_unit_interval(self.admitted.request.request_id)
+        spread = (self.admitted.route.rank + share) * RETURN_SPREAD_SECONDS
+        detail = f'all upstreams of {service} for {role} asked for rest'
+        return fail(ResultCode.UPSTREAMS_RESTING, detail)._replace(
+            retry_after_seconds=ends_at - now + spread
+        )
+
     def take_retry(self) -> bool:
         """Take a retry from the retry budget; return False if it is spent."""
         now = self.context.timers.now()
--- a/cranberryrelay/relay/_clearance.py
+++ b/cranberryrelay/relay/_clearance.py
@@ -177,7 +177,8 @@
         in_reach = [
             one
             for one in engines
-            if not fleet.is_in_backoff(one.name, now)
+            if fleet.accepts_requests(one, now)
+            and not fleet.is_in_backoff(one.name, now)
             and not self.suspects.is_gone(one.incarnation_id())
         ]
         return len(in_reach) >= TRIAL_ENGINES
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -8,6 +8,7 @@
 """
 
 import random
+from collections.abc import Iterable
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._catalogue import (
@@ -168,13 +169,40 @@
     ) -> list[Upstream]:
         """Return the upstreams that requests may be sent to.
 
-        Upstreams in backoff are excluded unless all of them are in backoff.
+        Upstreams in backoff are excluded unless all of them are in backoff,
+        those that asked for rest always.
         """
-        eligible = self.eligible(service, role, now)
+        willing = [
+            one
+            for one in self.eligible(service, role, now)
+            if self.accepts_requests(one, now)
+        ]
         available = [
-            one for one in eligible if not self.is_in_backoff(one.name, now)
+            one for one in willing if not self.is_in_backoff(one.name, now)
+        ]
+        return available or willing
+
+    def accepts_requests(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream neither leaves nor asked for rest."""
+        return not (upstream.leaving or self.is_resting(upstream, now))
+
+    def is_resting(self, upstream: Upstream, now: float) -> bool:
+        """Return whether an upstream has asked this instance for rest."""
+        return self.rests.is_resting(upstream.incarnation_id(), now)
+
+    def earliest_rest_end(
+        self, upstreams: Iterable[Upstream], now: float
+    ) -> float | None:
+        """Return when the first rest ends; None if one of them doesn't rest.
+
+        In seconds on the local clock.
+        """
+        ends = [
+            self.rests.end_of(upstream.incarnation_id())
+            for upstream in upstreams
         ]
-        return available or eligible
+        earliest = min(ends, default=float('-inf'))
+        return earliest if earliest > now else None
 
     def eligible(self, service: str, role: Role, now: float) -> list[Upstream]:
         """Return the upstreams that serve a role, reachable or not."""
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -99,9 +99,7 @@
             content_type='text/plain',
         )
         if status in _RETRYABLE_STATUSES:
-            response.headers['Retry-After'] = str(
-                _RETRY_AFTER_BY_CODE.get(failure.code, RETRY_AFTER_SECONDS)
-            )
+            response.headers['Retry-After'] = format_retry_after(failure)
         return self.close_if_draining(response)
 
     def close_if_draining(self, response: Response) -> Response:
@@ -111,6 +109,14 @@
         return response
 
 
+def format_retry_after(failure: Failure) -> str:
+    """Return when a caller that was refused may come back, in seconds."""
+    seconds = failure.retry_after_seconds
+    if seconds is None:
+        seconds = _RETRY_AFTER_BY_CODE.get(failure.code, RETRY_AFTER_SECONDS)
+    return f'{seconds:.3f}'
+
+
 class ForwardRoutes(FrontRoutes):
     """Handlers for requests that peers forward."""
 
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -126,16 +126,19 @@
         self.version = found.unwrap()
         return await self.open_stream()
 
-    def has_engine_of_version(self) -> bool:
-        """Return whether an engine that may continue the stream is known."""
-        if self.version is None:
-            return True
+    def find_decode_obstacle(self) -> Failure | None:
+        """Return why no decode engine can generate; None if one may.
+
+        Known before the prefill, this keeps a prompt from being read in vain.
+        """
         engines = self.context.state.fleet.eligible(
             self.admitted.service, Role.DECODE, self.context.timers.now()
         )
-        return any(
-            engine.software_version == self.version for engine in engines
-        )
+        versions = {engine.software_version for engine in engines}
+        if self.version is not None and self.version not in versions:
+            detail = f'no decode engine has software version {self.version}'
+            return fail(ResultCode.NO_ENGINE, detail)
+        return self.find_rest(Role.DECODE, self.version)
 
     async def open_stream(self) -> Result[UpstreamResponse, Failure]:
         """Run the prefill on one engine and start generation on another."""
@@ -144,9 +147,9 @@
             'no time left to send the request to an engine',
         )
         while self.remaining_seconds() > 0:
-            if not self.has_engine_of_version():
-                detail = f'no decode engine has software version {self.version}'
-                return Err(fail(ResultCode.NO_ENGINE, detail))
+            obstacle = self.find_decode_obstacle()
+            if obstacle is not None:
+                return Err(self.with_attempts(obstacle))
             cleared = await self.wait_for_clearance()
             if isinstance(cleared, Err):
                 return cleared
@@ -170,10 +173,13 @@
         A failure says whether an earlier attempt may have run.
         """
         cleared = await self.gate.wait()
-        if isinstance(cleared, Err) and self.attempts:
-            ran = ExecutionState.MAY_HAVE_RUN
-            return Err(cleared.unwrap_err()._replace(ran=ran))
-        return cleared
+        return cleared.map_err(self.with_attempts)
+
+    def with_attempts(self, failure: Failure) -> Failure:
+        """Return a failure that says whether an attempt may have run."""
+        if self.attempts:
+            return failure._replace(ran=ExecutionState.MAY_HAVE_RUN)
+        return failure
 
     async def generate(
         self, prompt: PrefilledPrompt
@@ -186,7 +192,8 @@
                 partial(self.choose_engine, prompt.domain), Role.DECODE
             )
             if engine is None:
-                return Err(failure)
+                resting = self.find_rest(Role.DECODE, self.version)
+                return Err(resting or failure)
             outcome = await self.start_generation(engine, prompt)
             if isinstance(outcome, Ok):
                 return outcome
@@ -362,6 +369,9 @@
         if backup is None or not self.log.event_count:
             return Err(failure)
         self.backup_engine = None
+        now = self.context.timers.now()
+        if self.context.state.fleet.is_resting(backup, now):
+            return Err(failure)
         if not self.take_retry():
             return Err(failure)
         source = KvSource(backup.address, self.admitted.request.request_id)
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -56,7 +56,9 @@
             upstream = await self.choose_within_limits(
                 self.choose_upstream, Role.PLAIN
             )
-            if upstream is None or not self.may_send(attempts):
+            if upstream is None:
+                return outcome.map_err(self.prefer_rest)
+            if not self.may_send(attempts):
                 break
             outcome = await self.send_to(upstream)
             if not self.should_repeat(outcome):
@@ -67,6 +69,12 @@
             attempts += failure is None or failure.code is not unreachable
         return outcome
 
+    def prefer_rest(self, failure: Failure) -> Failure:
+        """Return that all processes rest, if the call has not run."""
+        if failure.ran is not ExecutionState.NOT_RUN:
+            return failure
+        return self.find_rest(Role.PLAIN) or failure
+
     def choose_upstream(self) -> Upstream | None:
         """Choose the least busy process that has not failed this call."""
         return choose_plain_upstream(
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -54,6 +54,7 @@
     (
         ResultCode.NO_ENGINE,
         ResultCode.UPSTREAM_REFUSED,
+        ResultCode.UPSTREAMS_RESTING,
     )
 )
 
@@ -87,12 +88,16 @@
         """Return the prefilled prompt.
 
         A failure is reported as not run, since nothing has been generated.
-        Errors: ``NO_ENGINE``, ``UPSTREAM_REFUSED``, ``UPSTREAM_UNREACHABLE``.
+        Errors: ``NO_ENGINE``, ``UPSTREAM_REFUSED``, ``UPSTREAMS_RESTING``,
+        ``UPSTREAM_UNREACHABLE``.
         """
         failure = fail(ResultCode.NO_ENGINE, 'no prefill engine is available')
         while self.remaining_seconds() > 0:
             chosen = await self.wait_for_capacity()
-            if chosen is None or not self.may_send():
+            if chosen is None:
+                failure = self.find_rest(Role.PREFILL) or failure
+                break
+            if not self.may_send():
                 break
             outcome = await self.prefill_at(chosen)
             failure = outcome.err() or failure
@@ -129,6 +134,8 @@
                 chosen = self.choose_engine()
                 forecast = self.forecast_load(chosen)
                 dispatchable = queue.can_dispatch(request_id, rank, forecast)
+                if chosen is None and not self.is_limited(Role.PREFILL):
+                    break
                 if chosen is not None and dispatchable:
                     break
             self.log.record_queued(forecast, len(queue.queues[rank]))
--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -126,7 +126,9 @@
     async def order_if_idle(self, change: RoleChange, token: int) -> None:
         """Send an order unless the engine is busy or already has the role."""
         engine = self.state.fleet.upstreams.get(change.engine)
-        if engine is None or engine.leaving:
+        if engine is None:
+            return
+        if not self.state.fleet.accepts_requests(engine, self.timers.now()):
             return
         observe = partial(self.record_metadata, engine)
         answer = await self.control.report(engine, observe)
