Believe that an upstream was replaced only in an answer to this request

Reported from systems like ours: clients were told 'not run, try again' of requests that had run, or these ran at a second engine, after an engine had written an earlier refusal once more on a kept connection. Here a 503 or 429 of another request was not believed, but a 421 was: it was looked at before the id that the answer echoes. It also took a sound engine out of service.

--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -145,14 +145,16 @@
 def _check_response(
     call: UpstreamCall, response: UpstreamResponse
 ) -> Result[UpstreamResponse, Failure]:
+    # A faulty upstream may repeat an earlier answer on a kept connection, so
+    # nothing is believed of an answer to another request.
+    if response.metadata.request_id != call.request.request_id:
+        detail = f'{call.upstream} answered id "{response.metadata.request_id}"'
+        return Err(fail(ResultCode.ANSWER_MISMATCH, detail))
     if response.metadata.misdirected:
         detail = (
             f'{call.upstream}: a different incarnation now uses its address'
         )
         return Err(fail(ResultCode.UPSTREAM_REPLACED, detail))
-    if response.metadata.request_id != call.request.request_id:
-        detail = f'{call.upstream} answered id "{response.metadata.request_id}"'
-        return Err(fail(ResultCode.ANSWER_MISMATCH, detail))
     if response.metadata.not_run:
         detail = f'{call.upstream}: not run, status {response.status}'
         return Err(
--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -70,10 +70,24 @@
     Case(
         'another incarnation',
         421,
-        {},
+        {ID_HEADER: 'r1'},
         ResultCode.UPSTREAM_REPLACED,
         ExecutionState.NOT_RUN,
     ),
+    Case(
+        'another incarnation, to another request',
+        421,
+        {ID_HEADER: 'r2', **NOT_RUN},
+        ResultCode.ANSWER_MISMATCH,
+        ExecutionState.MAY_HAVE_RUN,
+    ),
+    Case(
+        'another incarnation, without a request id',
+        421,
+        {},
+        ResultCode.ANSWER_MISMATCH,
+        ExecutionState.MAY_HAVE_RUN,
+    ),
     Case('error response of the upstream', 500, {ID_HEADER: 'r1'}, None),
 )
 
