Show that an answer whose head is cut is a failure

Reported from systems like ours: a 200 with an empty or short body, framed as whole, made of a head that was cut. It can't happen here: for answers with a length, ended by their connection, and in chunks, each cut of the head is UPSTREAM_FAILED, and only the whole answer a success. No code changes.

--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -14,7 +14,7 @@
 from nose2.tools import params
 from result import Err
 
-from cranberryrelay.codes import ExecutionState, Failure
+from cranberryrelay.codes import ExecutionState, Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import UpstreamCall
 from cranberryrelay.relay._upstream_call import (
@@ -186,3 +186,45 @@
             return opened.unwrap_err()
         body = await read_body(opened.unwrap(), CALL_SECONDS)
         return body.err()
+
+
+ANSWERS = (
+    make_answer('r1'),
+    make_answer('r1').replace(b'Content-Length: 2', b'Connection: close'),
+    make_answer('r1').replace(b'Content-Length: 2', b'X-A: b'),
+    make_answer('r1')
+    .replace(b'Content-Length: 2', b'Transfer-Encoding: chunked')
+    .replace(b'\r\n\r\nok', b'\r\n\r\n2\r\nok\r\n0\r\n\r\n'),
+)
+
+
+class CutHeadTest(TestCase):
+    """An answer whose head is cut is no answer."""
+
+    # Guards against a success with an empty or short body made of the part of
+    # a head that arrived before its upstream closed the connection.
+    @params(*((answer,) for answer in ANSWERS))
+    def test_cut_head_is_a_failure(self, answer: bytes) -> None:
+        head_bytes = answer.index(HEAD_END) + len(HEAD_END)
+        for sent_bytes in range(head_bytes):
+            code = trio.run(call_cut_upstream, answer[:sent_bytes])
+            self.assertIs(code, ResultCode.UPSTREAM_FAILED, sent_bytes)
+        self.assertIsNone(trio.run(call_cut_upstream, answer))
+
+
+async def call_cut_upstream(sent: bytes) -> ResultCode | None:
+    """Call an upstream that sends some bytes and closes."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        await read_request_id(stream)
+        if sent:
+            await stream.send_all(sent)
+        await stream.aclose()
+
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as nursery, make_upstream_client() as client:
+        nursery.start_soon(trio.serve_listeners, answer, listeners)
+        failure = await call(client, f'127.0.0.1:{port}', 'r1')
+        nursery.cancel_scope.cancel()
+    return failure.code if failure else None
