Take rests and rate limits only from answers to this request

A rest would begin anew with each copy, and a copy from before a rate limit was named would end it. That an upstream leaves stays true, so it is believed of any answer of it. ForeignStatementTest fails without the change.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -65,16 +65,20 @@
     ) -> None:
         """Record what a response says of the upstream, also if it is an error.
 
-        Another incarnation speaks for itself, not for the one expected.
+        Another incarnation speaks for itself, not for the one expected. Of an
+        answer to an earlier request only what is final is still true.
         """
         if metadata.misdirected:
             return
         state = self.context.state
         now = self.context.timers.now()
-        state.rate_limits.record_answer(
-            upstream.name, metadata.requests_per_second, sent_at, now
-        )
-        state.fleet.record_statements(upstream, metadata, now)
+        if metadata.request_id == self.admitted.request.request_id:
+            state.rate_limits.record_answer(
+                upstream.name, metadata.requests_per_second, sent_at, now
+            )
+            state.fleet.record_statements(upstream, metadata, now)
+        elif metadata.leaving:
+            state.fleet.record_leaving(upstream, now)
         state.announce_news()
 
     def log_objection(self, upstream: Upstream, now: float) -> None:
--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -13,16 +13,33 @@
 import trio
 from nose2.tools import params
 from result import Err
+from trio.testing import MockClock
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
-from cranberryrelay.relay import UpstreamCall
+from cranberryrelay.relay import (
+    ClientLimits,
+    RequestKind,
+    Role,
+    Route,
+    Upstream,
+    UpstreamCall,
+)
+from cranberryrelay.relay._context import AdmittedRequest, RelayContext
+from cranberryrelay.relay._plain_path import PlainRun
+from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._upstream_call import (
     make_upstream_client,
     open_response,
     read_body,
 )
-from cranberryrelay.relay.tests.fixtures import make_arrival
+from cranberryrelay.relay.tests.fixtures import (
+    make_arrival,
+    make_plain_table,
+    make_route,
+    make_settings,
+)
+from cranberryrelay.timing import open_timer_service
 
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
 HEAD_END = b'\r\n\r\n'
@@ -228,3 +245,47 @@
         failure = await call(client, f'127.0.0.1:{port}', 'r1')
         nursery.cancel_scope.cancel()
     return failure.code if failure else None
+
+
+STATEMENTS = {
+    'Retry-After': '100',
+    'Server-Leaving': '1',
+    ID_HEADER: 'r0',
+}
+
+
+class ForeignStatementTest(TestCase):
+    """What an upstream says in an answer to another request is out of date."""
+
+    # Guards against a rest, or the end of a rate limit, that an upstream did
+    # not state in answer to this request. That it leaves is never out of date.
+    def test_only_leaving_is_believed(self) -> None:
+        state = RelayState(make_settings())
+        route = make_route(RequestKind.AT_MOST_ONCE)
+        state.apply_table(make_plain_table(1, route, ClientLimits()), 'test')
+        upstream = Upstream('u1', 1, 's', 'u1:1', 'a', 6, False, Role.PLAIN)
+        state.apply_upstream(upstream, 'test')
+        state.rate_limits.record_answer('u1', 1000.0, -2, -1)
+        trio.run(run_call, state, route, clock=MockClock())
+        self.assertFalse(state.fleet.is_resting(upstream, 0.1))
+        self.assertIn('u1', state.rate_limits.limits)
+        self.assertTrue(state.fleet.upstreams['u1'].leaving)
+
+
+async def run_call(state: RelayState, route: Route) -> None:
+    """Run a call at an upstream that answers another request."""
+
+    def respond(request: httpx.Request) -> httpx.Response:
+        return httpx.Response(503, headers=STATEMENTS)
+
+    transport = httpx.MockTransport(respond)
+    async with (
+        open_timer_service() as timers,
+        httpx.AsyncClient(transport=transport) as client,
+        AsyncExitStack() as stack,
+    ):
+        context = RelayContext(state, client, TargetDialect(), timers)
+        admitted = AdmittedRequest(
+            make_arrival('r1'), route, 's', 1, timers.now() + 4, stack
+        )
+        await PlainRun(context, admitted).run()
