Pass on only events that follow the last one

Reported from systems like ours: a stream broke off, the next engine answered with an error, and callers found its text or its head in the middle of their stream. Here an answer with an error status was not passed on; one with 200 was, whatever its bytes, up to the next empty line: an error's text, a head, or the events of a run that began anew.

An event's lines must be fields, and its number higher than that of the last one passed on; comments pass. A 200 that ends without any event can't be told from a stream that had sent its last one, and counts as its end.

--- a/cranberryrelay/relay/_events.py
+++ b/cranberryrelay/relay/_events.py
@@ -1,22 +1,37 @@
 """Splits a byte stream of server-sent events and parses their numbers."""
 
+import re
 from typing import Final, NamedTuple
 
 # Largest event of a stream, in bytes; a few tokens take far less.
 EVENT_BYTES_LIMIT: Final = 1_000_000
 _END: Final = b'\n\n'
 _ID_FIELD: Final = b'id:'
+_COMMENT: Final = b':'
+
+# Start of a line of an event: the name of a field, or a comment.
+_LINE_START: Final = re.compile(rb'([a-z][a-z0-9-]*)?:')
 
 
 class Event(NamedTuple):
     """A complete event of a stream."""
 
-    # Number of the event from its id field; None if it has none.
+    # Number of the event from its id field; None if it has none, or if its
+    # lines are not those of an event.
     number: int | None
 
     # Bytes of the event, including the empty line that ends it.
     content: bytes
 
+    def follows(self, last_number: int | None) -> bool:
+        """Return whether this continues a stream after an event.
+
+        Each event has a higher number than the one before; comments have none.
+        """
+        if self.content.startswith(_COMMENT):
+            return True
+        return self.number is not None and self.number > (last_number or 0)
+
 
 class EventSplitter:
     """Buffers an incomplete event until the rest of it arrives."""
@@ -37,7 +52,10 @@
 
 
 def _make_event(content: bytes) -> Event:
-    for line in content.split(b'\n'):
+    lines = content.removesuffix(_END).split(b'\n')
+    if not all(_LINE_START.match(line) for line in lines):
+        return Event(None, content)
+    for line in lines:
         if line.startswith(_ID_FIELD):
             number = line[len(_ID_FIELD) :].strip()
             if number.isdigit():
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -55,6 +55,9 @@
 # used.  After more, the prefill is repeated, as the cache may be gone.
 REFUSALS_LIMIT: Final = 1
 
+# Bytes of something that is no event of the stream, as far as they are logged.
+LOGGED_BYTES: Final = 80
+
 # Failures after which the KV cache of the prompt is still unused: the decode
 # engine has not fetched it.
 _KV_CACHE_UNTOUCHED: Final = frozenset(
@@ -342,6 +345,8 @@
         await response.close()
         if broken.code is ResultCode.STREAM_BROKEN:
             self.record_interrupted(broken)
+        elif broken.code is ResultCode.ANSWER_MISMATCH and self.engine:
+            self.record_failure(self.engine, broken)
         outcome = await self.resume_from_backup(broken)
         if outcome.is_err() and self.may_retry(broken):
             outcome = await self.open_stream()
@@ -396,6 +401,13 @@
             if chunk is None:
                 break
             for event in splitter.feed(chunk):
+                if not event.follows(self.last_event_number):
+                    yield fail(
+                        ResultCode.ANSWER_MISMATCH,
+                        f'no event after {self.last_event_number}: '
+                        f'{event.content[:LOGGED_BYTES]!r}',
+                    )
+                    return
                 self.record_event(event)
                 yield event
             if splitter.too_large:
