Go on with a stream elsewhere when the next engine answers with an error

A stream that broke off was given up when the engine asked to go on with it answered with an error, though another attempt was allowed. The error counts against that engine, and the next is tried as after any other failure.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -68,6 +68,15 @@
 )
 
 
+# Failures of an engine that sent something else than the rest of a stream.
+_FAULTY_ANSWERS: Final = frozenset(
+    (
+        ResultCode.ANSWER_MISMATCH,
+        ResultCode.UPSTREAM_FAILED,
+    )
+)
+
+
 class ModelRun(EngineAttempts):
     """Execution of one streaming request on prefill and decode engines."""
 
@@ -345,14 +354,18 @@
         await response.close()
         if broken.code is ResultCode.STREAM_BROKEN:
             self.record_interrupted(broken)
-        elif broken.code is ResultCode.ANSWER_MISMATCH and self.engine:
+        elif broken.code in _FAULTY_ANSWERS and self.engine:
             self.record_failure(self.engine, broken)
         outcome = await self.resume_from_backup(broken)
         if outcome.is_err() and self.may_retry(broken):
             outcome = await self.open_stream()
         resumed = outcome.ok()
-        if resumed is not None and resumed.status == HTTPStatus.OK:
-            return resumed
+        if resumed is not None:
+            if resumed.status == HTTPStatus.OK:
+                return resumed
+            detail = f'status {resumed.status} instead of the rest of a stream'
+            refused = fail(ResultCode.UPSTREAM_FAILED, detail)
+            return await self.resume(resumed, refused)
         self.log.write(
             'stream broken',
             code=broken.code.value,
--- a/cranberryrelay/relay/tests/test_resumed_streams.py
+++ b/cranberryrelay/relay/tests/test_resumed_streams.py
@@ -118,13 +118,7 @@
         self.assertFalse(complete)
 
     # Guards against giving such a stream up while another attempt is allowed.
-    @params(
-        *(
-            (case,)
-            for case in CASES
-            if case.status == httpx.codes.OK and not case.passed
-        )
-    )
+    @params(*((case,) for case in CASES if case.resumable and not case.passed))
     def test_third_engine_completes_the_stream(self, case: Case) -> None:
         outcome = trio.run(run_request, Engines(case, sound_after=2), True, 3)
         self.assertEqual(outcome, (b''.join(EVENTS), True))
