--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -8,6 +8,7 @@
 
 import logging
 from contextlib import AsyncExitStack
+from http import HTTPStatus
 from typing import Final
 
 from result import Err, Ok, Result
@@ -28,6 +29,16 @@
 # A request ends this long before the caller's own deadline, so that the error
 # response still reaches the caller.
 REPLY_MARGIN_SECONDS: Final = 0.02
+
+# Statuses by which a caller is told that its request has not run.
+_PROMISING_STATUSES: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    )
+)
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -135,9 +146,12 @@
         is_model_request = (
             admitted.request.model_request is not None and engines
         )
+        outcome: Result[BufferedReply | StreamReply, Failure]
         if is_model_request and admitted.route.kind is RequestKind.STREAM:
-            return await ModelRun(self.context, admitted).run()
-        return await PlainRun(self.context, admitted).run()
+            outcome = await ModelRun(self.context, admitted).run()
+        else:
+            outcome = await PlainRun(self.context, admitted).run()
+        return outcome.and_then(check_promise)
 
     def log_failure(
         self,
@@ -160,6 +174,20 @@
         )
 
 
+def check_promise(
+    reply: BufferedReply | StreamReply,
+) -> Result[BufferedReply | StreamReply, Failure]:
+    """Return a failure for a promise that the upstream did not make.
+
+    Callers send a request again after these statuses, as they mean that it has
+    not run. An upstream that states it has been handled before.
+    """
+    if reply.status not in _PROMISING_STATUSES:
+        return Ok(reply)
+    detail = f'status {reply.status} without a statement that it did not run'
+    return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
+
+
 def check_size_limits(
     request: IncomingRequest, limits: ClientLimits
 ) -> Failure | None:
--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -12,7 +12,7 @@
 import httpx
 import trio
 from nose2.tools import params
-from result import Err
+from result import Err, Result
 from trio.testing import MockClock
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode
@@ -25,7 +25,13 @@
     Upstream,
     UpstreamCall,
 )
-from cranberryrelay.relay._context import AdmittedRequest, RelayContext
+from cranberryrelay.relay._context import (
+    AdmittedRequest,
+    BufferedReply,
+    RelayContext,
+    StreamReply,
+)
+from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._plain_path import PlainRun
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._upstream_call import (
@@ -260,11 +266,9 @@
     # Guards against a rest, or the end of a rate limit, that an upstream did
     # not state in answer to this request. That it leaves is never out of date.
     def test_only_leaving_is_believed(self) -> None:
-        state = RelayState(make_settings())
         route = make_route(RequestKind.AT_MOST_ONCE)
-        state.apply_table(make_plain_table(1, route, ClientLimits()), 'test')
-        upstream = Upstream('u1', 1, 's', 'u1:1', 'a', 6, False, Role.PLAIN)
-        state.apply_upstream(upstream, 'test')
+        state = make_plain_state(route)
+        upstream = state.fleet.upstreams['u1']
         state.rate_limits.record_answer('u1', 1000.0, -2, -1)
         trio.run(run_call, state, route, clock=MockClock())
         self.assertFalse(state.fleet.is_resting(upstream, 0.1))
@@ -289,3 +293,57 @@
             make_arrival('r1'), route, 's', 1, timers.now() + 4, stack
         )
         await PlainRun(context, admitted).run()
+
+
+class UnstatedRefusalTest(TestCase):
+    """A status that promises "not run" needs an upstream that stated it."""
+
+    # Guards against passing on a promise that the upstream did not make; the
+    # caller would send again what may have run.
+    @params(408, 429, 503)
+    def test_unstated_refusal_is_not_passed_on(self, status: int) -> None:
+        outcome = trio.run(serve_with_status, status)
+        self.assertIs(outcome.unwrap_err().ran, ExecutionState.MAY_HAVE_RUN)
+
+    # Guards against hiding the other errors of an upstream.
+    @params(404, 500, 504)
+    def test_other_errors_are_passed_on(self, status: int) -> None:
+        outcome = trio.run(serve_with_status, status)
+        reply = outcome.unwrap()
+        assert isinstance(reply, BufferedReply)
+        self.assertEqual((reply.status, reply.body), (status, b'x'))
+
+
+async def serve_with_status(
+    status: int,
+) -> Result[BufferedReply | StreamReply, Failure]:
+    """Serve a call that may run once at an upstream with such an answer."""
+
+    def respond(request: httpx.Request) -> httpx.Response:
+        headers = {ID_HEADER: 'r1'}
+        body = httpx.ByteStream(b'x')
+        return httpx.Response(status, headers=headers, stream=body)
+
+    route = make_route(RequestKind.AT_MOST_ONCE)
+    state = make_plain_state(route)
+    request = make_arrival('r1')._replace(
+        headers=((b'Host', b'a.example'), (ID_HEADER.encode(), b'r1'))
+    )
+    transport = httpx.MockTransport(respond)
+    async with (
+        open_timer_service() as timers,
+        httpx.AsyncClient(transport=transport) as client,
+        AsyncExitStack() as stack,
+    ):
+        context = RelayContext(state, client, TargetDialect(), timers)
+        arrived = request._replace(arrived_at=timers.now())
+        return await RelayPipeline(context).serve(arrived, stack)
+
+
+def make_plain_state(route: Route) -> RelayState:
+    """Make the state of an instance with one process of a plain service."""
+    state = RelayState(make_settings())
+    state.apply_table(make_plain_table(1, route, ClientLimits()), 'test')
+    upstream = Upstream('u1', 1, 's', 'u1:1', 'a', 6, False, Role.PLAIN)
+    state.apply_upstream(upstream, 'test')
+    return state
