Show that a stream no engine completes is broken off for its caller

Over real connections, with both decode engines ending after the second event, the caller's connection breaks. No code changes.

--- a/cranberryrelay/relay/tests/test_whole_path.py
+++ b/cranberryrelay/relay/tests/test_whole_path.py
@@ -220,6 +220,18 @@
 
         trio.run(scenario)
 
+    # Guards against a stream that no engine completes and that still reaches
+    # its caller framed as complete.
+    def test_stream_without_engines_is_broken_off(self) -> None:
+        async def scenario() -> None:
+            async with run_deployment() as deployment:
+                for name in ('decode-2', 'decode-3'):
+                    engine = deployment.engines[name]
+                    engine.faults = TargetEngineFaults(crash_after_event=2)
+                self.assertIsNone(await send(deployment, 'front-a', 'r1'))
+
+        trio.run(scenario)
+
     @params('front-a', 'front-b')
     def test_release_note_applies_and_survives_store_outage(
         self, name: str
