Say of a refused stream whether any attempt may have run

A refusal after several attempts said what the last one had come to. A stream that may be resumed was refused as not run when its engine was lost and none was left to send it to. The attempts are now looked at in one place, for each way in which they can end. LostAttemptTest: both rows fail without the change.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -153,7 +153,18 @@
         return self.find_rest(Role.DECODE, self.version)
 
     async def open_stream(self) -> Result[UpstreamResponse, Failure]:
-        """Run the prefill on one engine and start generation on another."""
+        """Run the prefill on one engine and start generation on another.
+
+        A failure says whether any attempt may have run, not only the last.
+        """
+        outcome = await self.try_engines()
+        if self.attempts:
+            ran = ExecutionState.MAY_HAVE_RUN
+            return outcome.map_err(lambda failure: failure._replace(ran=ran))
+        return outcome
+
+    async def try_engines(self) -> Result[UpstreamResponse, Failure]:
+        """Try engines until one generates or no attempt is left."""
         failure = fail(
             ResultCode.NO_ENGINE,
             'no time left to send the request to an engine',
@@ -161,14 +172,14 @@
         while self.remaining_seconds() > 0:
             obstacle = self.find_decode_obstacle()
             if obstacle is not None:
-                return Err(self.with_attempts(obstacle))
-            cleared = await self.wait_for_clearance()
+                return Err(obstacle)
+            cleared = await self.gate.wait()
             if isinstance(cleared, Err):
                 return cleared
             prompt = await self.prefill.run()
             if isinstance(prompt, Err):
                 return prompt
-            cleared = await self.wait_for_clearance()
+            cleared = await self.gate.wait()
             if isinstance(cleared, Err):
                 return cleared
             outcome = await self.generate(prompt.unwrap())
@@ -179,20 +190,6 @@
                 break
         return Err(failure)
 
-    async def wait_for_clearance(self) -> Result[None, Failure]:
-        """Wait until the prompt may be sent to an engine.
-
-        A failure says whether an earlier attempt may have run.
-        """
-        cleared = await self.gate.wait()
-        return cleared.map_err(self.with_attempts)
-
-    def with_attempts(self, failure: Failure) -> Failure:
-        """Return a failure that says whether an attempt may have run."""
-        if self.attempts:
-            return failure._replace(ran=ExecutionState.MAY_HAVE_RUN)
-        return failure
-
     async def generate(
         self, prompt: PrefilledPrompt
     ) -> Result[UpstreamResponse, Failure]:
--- a/cranberryrelay/relay/tests/test_resumed_streams.py
+++ b/cranberryrelay/relay/tests/test_resumed_streams.py
@@ -13,8 +13,9 @@
 import trio
 from nose2.tools import params
 
+from cranberryrelay.codes import ExecutionState, Failure
 from cranberryrelay.platform import TargetDialect
-from cranberryrelay.relay import RequestKind
+from cranberryrelay.relay import RequestKind, Role
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BrokenStreamError,
@@ -137,16 +138,11 @@
         context = RelayContext(
             make_state(('d1', 'd2', 'd3')), client, TargetDialect(), timers
         )
-        now = timers.now()
-        admitted = AdmittedRequest(
-            request=make_arrival('r1', WORK)._replace(arrived_at=now),
-            route=make_route(RequestKind.STREAM)._replace(
-                resumable=resumable, attempts_limit=attempts_limit
-            ),
-            service='s',
-            revision=1,
-            deadline=now + 5,
-            stack=stack,
+        admitted = admit(
+            timers.now(),
+            stack,
+            resumable=resumable,
+            attempts_limit=attempts_limit,
         )
         outcome = await ModelRun(context, admitted).run()
         reply = outcome.unwrap()
@@ -158,3 +154,62 @@
         except BrokenStreamError:
             return passed.getvalue(), False
     return passed.getvalue(), True
+
+
+class LostAttemptTest(TestCase):
+    """A refusal after an attempt that was lost does not say "not run"."""
+
+    # Guards against promising that a request has not run after an engine had
+    # it and was lost, when nothing is left to send it to.
+    @params(Role.PREFILL, Role.DECODE)
+    def test_lost_attempt_may_have_run(self, missing: Role) -> None:
+        failure = trio.run(lose_attempt, missing)
+        self.assertIs(failure.ran, ExecutionState.MAY_HAVE_RUN)
+
+
+async def lose_attempt(missing: Role) -> Failure:
+    """Return the failure of a request whose first attempt is lost.
+
+    Afterwards there is no engine of a role any more.
+    """
+    state = make_state(('d1',))
+
+    def respond(request: httpx.Request) -> httpx.Response:
+        if request.headers.get('X-Cranberryrelay-Stage'):
+            return respond_with(PREFILL_RESPONSE)
+        if missing is Role.PREFILL:
+            state.remove_upstream('p1', 'test')
+        raise httpx.ReadError('reset')
+
+    transport = httpx.MockTransport(respond)
+    async with (
+        open_timer_service() as timers,
+        httpx.AsyncClient(transport=transport) as client,
+        AsyncExitStack() as stack,
+    ):
+        context = RelayContext(state, client, TargetDialect(), timers)
+        outcome = await ModelRun(
+            context, admit(timers.now(), stack, resumable=True)
+        ).run()
+    return outcome.unwrap_err()
+
+
+def admit(
+    now: float,
+    stack: AsyncExitStack,
+    *,
+    resumable: bool,
+    attempts_limit: int = 2,
+) -> AdmittedRequest:
+    """Make a request that has just been admitted."""
+    route = make_route(RequestKind.STREAM)
+    return AdmittedRequest(
+        request=make_arrival('r1', WORK)._replace(arrived_at=now),
+        route=route._replace(
+            resumable=resumable, attempts_limit=attempts_limit
+        ),
+        service='s',
+        revision=1,
+        deadline=now + 5,
+        stack=stack,
+    )
