Read messages of builds whose records have more fields

Two builds side by side dropped each other's load reports, heartbeats, suspects and stream versions: records travel as arrays of exact length, so a new field cut the fleet in two.

A record may now grow at its end: what is not known is left out, what is missing has a default, and a kind that is not known is passed over, each counted and logged once a peer.

--- a/cranberryrelay/wire/_client.py
+++ b/cranberryrelay/wire/_client.py
@@ -78,7 +78,8 @@
                 self.malformed += 1
                 continue
             sender = frames[0].decode(errors='replace')
-            await self.inbox_sender.send((sender, decoded.unwrap()))
+            message = decoded.unwrap().message
+            await self.inbox_sender.send((sender, message))
 
 
 @contextmanager
--- a/cranberryrelay/wire/_codec.py
+++ b/cranberryrelay/wire/_codec.py
@@ -1,4 +1,7 @@
-"""Encodes a typed message as two frames: its class name and msgpack body."""
+"""Encodes a typed message as two frames: its class name and msgpack body.
+
+Processes of two builds may run side by side, see ``_record_forms``.
+"""
 
 from collections.abc import Mapping
 from typing import Any, Generic, NamedTuple, TypeVar
@@ -7,10 +10,21 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.wire._record_forms import fit_to_type
 
 Message = TypeVar('Message')
 
 
+class DecodedMessage(NamedTuple, Generic[Message]):
+    """A message, and how its form differed from the one known here."""
+
+    # The message.
+    message: Message
+
+    # Differences that were passed over; '' for none.
+    differences: str = ''
+
+
 class Codec(NamedTuple, Generic[Message]):
     """Encodes and decodes a fixed set of message types."""
 
@@ -22,8 +36,17 @@
         kind = type(message).__name__
         return [kind.encode(), msgspec.msgpack.encode(message)]
 
-    def decode(self, frames: list[bytes]) -> Result[Message, Failure]:
-        """Decode a message; ``FRAME_MALFORMED`` if the frames are invalid."""
+    def find_type(self, kind: bytes) -> type[Message] | None:
+        """Return the type that a kind frame names; None for an unknown kind."""
+        return self.types.get(kind.decode(errors='replace'))
+
+    def decode(
+        self, frames: list[bytes]
+    ) -> Result[DecodedMessage[Message], Failure]:
+        """Decode a message, also one of a build with other fields.
+
+        Errors: ``FRAME_MALFORMED`` if the frames are invalid.
+        """
         if len(frames) != 2:
             return Err(
                 fail(
@@ -31,14 +54,27 @@
                     'expected 2 frames: kind and message',
                 )
             )
-        message_type = self.types.get(frames[0].decode(errors='replace'))
+        message_type = self.find_type(frames[0])
         if message_type is None:
             return Err(fail(ResultCode.FRAME_MALFORMED, 'unknown message kind'))
         try:
             message: Any = msgspec.msgpack.decode(frames[1], type=message_type)
-        except msgspec.MsgspecError as error:
-            return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
-        return Ok(message)
+        except msgspec.MsgspecError:
+            return _decode_fitted(frames[1], message_type)
+        return Ok(DecodedMessage(message))
+
+
+def _decode_fitted(
+    body: bytes, message_type: type[Message]
+) -> Result[DecodedMessage[Message], Failure]:
+    differences: list[str] = []
+    try:
+        content = msgspec.msgpack.decode(body)
+        fitted = fit_to_type(content, message_type, differences.append)
+        message: Any = msgspec.convert(fitted, message_type)
+    except msgspec.MsgspecError as error:
+        return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
+    return Ok(DecodedMessage(message, ', '.join(dict.fromkeys(differences))))
 
 
 def make_codec(types: list[type[Message]]) -> Codec[Message]:
--- a/cranberryrelay/wire/_network.py
+++ b/cranberryrelay/wire/_network.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import AsyncIterator, Iterator
 from contextlib import ExitStack, contextmanager
 from typing import Any, Final, NamedTuple
@@ -21,6 +22,8 @@
     open_router,
 )
 
+# Most differences that are counted and logged, over all peers.
+PASSED_OVER_LIMIT: Final = 4096
 _ENVELOPE_FRAMES: Final = 5
 _LOG: Final = logging.getLogger('cranberryrelay.wire')
 
@@ -50,6 +53,9 @@
         self.used_addresses: set[str] = set()
         self.inbound_peers: set[str] = set()
         self.malformed = 0
+
+        # Messages of peers of another build, by peer and difference.
+        self.passed_over: Counter[tuple[str, str]] = Counter()
         self.messages_sent = 0
         self.bytes_sent = 0
         self.blocked_peers: frozenset[str] = frozenset()
@@ -109,22 +115,44 @@
         receiver = receiver_frame.decode(errors='replace')
         if sender.partition('/')[0] in self.blocked_peers:
             return None
-        message = self.codec.decode(rest)
-        if message.is_err():
-            self._count_malformed(message.unwrap_err().detail)
+        kind = rest[0]
+        if self.codec.find_type(kind) is None:
+            self._count_passed_over(sender, f'unknown kind {kind!r}')
+            return None
+        decoded = self.codec.decode(rest)
+        if decoded.is_err():
+            self._count_malformed(decoded.unwrap_err().detail)
             return None
+        message, differences = decoded.unwrap()
+        if differences:
+            self._count_passed_over(sender, differences)
         if identity == sender_frame:
             self.inbound_peers.add(sender)
         if receiver != self.name:
             self._forward(receiver, sender, rest)
             return None
-        return sender, message.unwrap()
+        return sender, message
 
     def _forward(self, receiver: str, sender: str, rest: list[bytes]) -> None:
         if receiver in self.inbound_peers:
             frames = [sender.encode(), receiver.encode(), *rest]
             self.router.send_now([receiver.encode(), *frames])
 
+    def _count_passed_over(self, sender: str, difference: str) -> None:
+        """Count what a peer of another build sent and is not known here.
+
+        It is logged once for each peer.
+        """
+        counted = (sender, difference)
+        if counted not in self.passed_over:
+            if len(self.passed_over) >= PASSED_OVER_LIMIT:
+                return
+            _LOG.info(
+                'peer of another build',
+                extra={'peer': sender, 'difference': difference},
+            )
+        self.passed_over[counted] += 1
+
     def _count_malformed(self, detail: str) -> None:
         self.malformed += 1
         _LOG.warning('malformed frame dropped', extra={'detail': detail})
--- a/cranberryrelay/wire/tests/test_wire.py
+++ b/cranberryrelay/wire/tests/test_wire.py
@@ -30,7 +30,7 @@
     def test_round_trip(self) -> None:
         message = VoiceWord(1, 'domain', 7)
         decoded = CODEC.decode(CODEC.encode(message)).unwrap()
-        self.assertEqual(decoded, message)
+        self.assertEqual(decoded, (message, ''))
 
     @params(
         ([],),
@@ -46,7 +46,10 @@
 
 
 async def send_and_receive(
-    server: CurveKeys, client: CurveKeys, frames: list[bytes]
+    server: CurveKeys,
+    client: CurveKeys,
+    frames: list[bytes],
+    copies: int = 1,
 ) -> tuple[list[Any], int]:
     """Return the messages a network received and its malformed count.
 
@@ -68,7 +71,8 @@
             dealer = stack.enter_context(
                 open_dealer(context, address, keys, server.public)
             )
-            dealer.send_now(frames)
+            for _ in range(copies):
+                dealer.send_now(frames)
             dealer.send_now([b'two', b'one', *CODEC.encode(AskVoice(2))])
             with trio.move_on_after(0.7):
                 async for _, message in network.receive():
@@ -88,6 +92,19 @@
         self.assertEqual(received, [AskVoice(2)])
         self.assertEqual(malformed, 1)
 
+    # Guards against a log line for each message of a kind that only a newer
+    # build knows, and against losing what follows.
+    def test_unknown_kind_is_passed_over(self) -> None:
+        frames = [b'two', b'one', b'NewKind', b'\x91\x01']
+        with self.assertLogs('cranberryrelay.wire', 'INFO') as logs:
+            received, malformed = trio.run(
+                send_and_receive, CurveKeys(), CurveKeys(), frames, 3
+            )
+        self.assertEqual(received, [AskVoice(2)])
+        self.assertEqual(malformed, 0)
+        lines = [one for one in logs.output if 'another build' in one]
+        self.assertEqual(len(lines), 1)
+
     @params(True, False)
     def test_only_matching_keys_connect(self, same: bool) -> None:
         server = make_keys()
