--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -59,6 +59,9 @@
     # clock; None if there is none.
     unanswered_since: float | None = None
 
+    # When a message that it should answer was last sent, on the local clock.
+    asked_at: float = float('-inf')
+
     # When missing records were last sent to it, on the local clock.
     last_repair_at: float = float('-inf')
 
@@ -116,10 +119,20 @@
         return now - known.unanswered_since > LIVENESS_TIMEOUT_SECONDS
 
     def record_unanswered(self, name: str, now: float) -> None:
-        """Record that a peer was sent a message that it answers."""
+        """Record that a peer was sent a message that it answers.
+
+        One that was not asked for longer than the retry period is asked anew:
+        it may have had no reason to answer then.
+        """
         known = self.peers[name]
-        if known.unanswered_since is None:
-            self.peers[name] = known._replace(unanswered_since=now)
+        since = known.unanswered_since
+        if since is None or self.was_asked_long_ago(known, now):
+            since = now
+        self.peers[name] = known._replace(unanswered_since=since, asked_at=now)
+
+    def was_asked_long_ago(self, peer: Peer, now: float) -> bool:
+        """Return whether the last message to answer is older than a retry."""
+        return now - peer.asked_at > RETRY_PERIOD_SECONDS
 
     def record_load_beat(self, name: str) -> None:
         """Record a load report, which goes to a hub or through a full mesh.
@@ -158,8 +171,9 @@
         It is tried again for ``RESPONSIVE_SECONDS`` in each
         ``RETRY_PERIOD_SECONDS``.
         """
-        unanswered_since = self.peers[name].unanswered_since
-        if unanswered_since is None:
+        peer = self.peers[name]
+        unanswered_since = peer.unanswered_since
+        if unanswered_since is None or self.was_asked_long_ago(peer, now):
             return False
         unanswered_seconds = now - unanswered_since
         if unanswered_seconds < RESPONSIVE_SECONDS:
