Give no order to an engine whose report says that it leaves or rests

The report is read before an order, and what it says of the engine was recorded but not looked at again, so the order followed. test_unwilling_engines: two of four rows fail without the change. The choice of a decode engine looks for rests only if any upstream rests, as it did before there were any.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -139,6 +139,8 @@
         """
         now = self.context.timers.now()
         fleet = self.context.state.fleet
+        if not fleet.rests.ends_at:
+            return None
         service = self.admitted.service
         ends_at = fleet.earliest_rest_end(
             (
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -183,8 +183,13 @@
         return available or willing
 
     def accepts_requests(self, upstream: Upstream, now: float) -> bool:
-        """Return whether an upstream neither leaves nor asked for rest."""
-        return not (upstream.leaving or self.is_resting(upstream, now))
+        """Return whether an upstream neither leaves nor asked for rest.
+
+        ``upstream`` may have been read before it said so.
+        """
+        leaving = self.departures.is_leaving(upstream.incarnation_id())
+        resting = self.is_resting(upstream, now)
+        return not (upstream.leaving or leaving or resting)
 
     def is_resting(self, upstream: Upstream, now: float) -> bool:
         """Return whether an upstream has asked this instance for rest."""
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -138,19 +138,26 @@
         self.version = found.unwrap()
         return await self.open_stream()
 
+    def has_engine_of_version(self) -> bool:
+        """Return whether an engine that may continue the stream is known."""
+        if self.version is None:
+            return True
+        engines = self.context.state.fleet.eligible(
+            self.admitted.service, Role.DECODE, self.context.timers.now()
+        )
+        return any(
+            engine.software_version == self.version for engine in engines
+        )
+
     def find_decode_obstacle(self) -> Failure | None:
         """Return why no decode engine can generate; None if one may.
 
         Known before the prefill, this keeps a prompt from being read in vain.
         """
-        engines = self.context.state.fleet.eligible(
-            self.admitted.service, Role.DECODE, self.context.timers.now()
-        )
-        versions = {engine.software_version for engine in engines}
-        if self.version is not None and self.version not in versions:
-            detail = f'no decode engine has software version {self.version}'
-            return fail(ResultCode.NO_ENGINE, detail)
-        return self.find_rest(Role.DECODE, self.version)
+        if self.has_engine_of_version():
+            return self.find_rest(Role.DECODE, self.version)
+        detail = f'no decode engine has software version {self.version}'
+        return fail(ResultCode.NO_ENGINE, detail)
 
     async def open_stream(self) -> Result[UpstreamResponse, Failure]:
         """Run the prefill on one engine and start generation on another.
--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -126,9 +126,7 @@
     async def order_if_idle(self, change: RoleChange, token: int) -> None:
         """Send an order unless the engine is busy or already has the role."""
         engine = self.state.fleet.upstreams.get(change.engine)
-        if engine is None:
-            return
-        if not self.state.fleet.accepts_requests(engine, self.timers.now()):
+        if engine is None or not self.accepts_requests(engine):
             return
         observe = partial(self.record_metadata, engine)
         answer = await self.control.report(engine, observe)
@@ -144,9 +142,13 @@
         report = answer.unwrap()
         if report.busy or report.role is change.role:
             return
-        if self.lease.may_send_order():
+        if self.accepts_requests(engine) and self.lease.may_send_order():
             await self.send_order(engine, change, report, token)
 
+    def accepts_requests(self, engine: Upstream) -> bool:
+        """Return whether an engine neither leaves nor asked for rest."""
+        return self.state.fleet.accepts_requests(engine, self.timers.now())
+
     def record_metadata(
         self, engine: Upstream, metadata: ResponseMetadata
     ) -> None:
