Name what is recorded and refused, and share the mock context of the tests

Read as a newcomer: log_objection, find_rest and 'its own wishes' said nothing about what they do. Six tests built the same context; a fixture does now. No change of behaviour.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -51,7 +51,7 @@
         """
         sent_at = self.context.timers.now()
         self.context.state.record_attempt(upstream.name, sent_at)
-        self.log_objection(upstream, sent_at)
+        self.log_unwanted_send(upstream, sent_at)
         return await open_response(
             self.context.client,
             self.context.dialect,
@@ -81,7 +81,7 @@
             state.fleet.record_leaving(upstream, now)
         state.announce_news()
 
-    def log_objection(self, upstream: Upstream, now: float) -> None:
+    def log_unwanted_send(self, upstream: Upstream, now: float) -> None:
         """Log a send to an upstream that has asked for no more requests."""
         fleet = self.context.state.fleet
         leaving = fleet.departures.is_leaving(upstream.incarnation_id())
@@ -127,7 +127,7 @@
             if upstream.name not in self.excluded
         )
 
-    def find_rest(
+    def find_rest_failure(
         self, role: Role, version: str | None = None
     ) -> Failure | None:
         """Return the refusal if all upstreams of a role asked for rest.
--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -107,7 +107,7 @@
     def record_statements(
         self, upstream: Upstream, metadata: ResponseMetadata, now: float
     ) -> None:
-        """Record what an upstream says in a response of its own wishes.
+        """Record whether an upstream says that it leaves, or asks for rest.
 
         Another incarnation speaks for itself, not for the one expected.
         """
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -155,7 +155,7 @@
         Known before the prefill, this keeps a prompt from being read in vain.
         """
         if self.has_engine_of_version():
-            return self.find_rest(Role.DECODE, self.version)
+            return self.find_rest_failure(Role.DECODE, self.version)
         detail = f'no decode engine has software version {self.version}'
         return fail(ResultCode.NO_ENGINE, detail)
 
@@ -208,7 +208,7 @@
                 partial(self.choose_engine, prompt.domain), Role.DECODE
             )
             if engine is None:
-                resting = self.find_rest(Role.DECODE, self.version)
+                resting = self.find_rest_failure(Role.DECODE, self.version)
                 return Err(resting or failure)
             outcome = await self.start_generation(engine, prompt)
             if isinstance(outcome, Ok):
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -73,7 +73,7 @@
         """Return that all processes rest, if the call has not run."""
         if failure.ran is not ExecutionState.NOT_RUN:
             return failure
-        return self.find_rest(Role.PLAIN) or failure
+        return self.find_rest_failure(Role.PLAIN) or failure
 
     def choose_upstream(self) -> Upstream | None:
         """Choose the least busy process that has not failed this call."""
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -95,7 +95,7 @@
         while self.remaining_seconds() > 0:
             chosen = await self.wait_for_capacity()
             if chosen is None:
-                failure = self.find_rest(Role.PREFILL) or failure
+                failure = self.find_rest_failure(Role.PREFILL) or failure
                 break
             if not self.may_send():
                 break
--- a/cranberryrelay/relay/_role_controller.py
+++ b/cranberryrelay/relay/_role_controller.py
@@ -152,7 +152,7 @@
     def record_metadata(
         self, engine: Upstream, metadata: ResponseMetadata
     ) -> None:
-        """Record what an engine says of its own wishes in a response."""
+        """Record whether an engine says that it leaves, or asks for rest."""
         now = self.timers.now()
         self.state.fleet.record_statements(engine, metadata, now)
 
--- a/cranberryrelay/relay/tests/fixtures.py
+++ b/cranberryrelay/relay/tests/fixtures.py
@@ -2,8 +2,12 @@
 
 import random
 import socket
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 
+import httpx
+
+from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import (
     ClientLimits,
     EngineTraits,
@@ -20,7 +24,10 @@
     StorePosition,
     make_routing_table,
 )
+from cranberryrelay.relay._context import RelayContext
+from cranberryrelay.relay._state import RelayState
 from cranberryrelay.standins import FIRST_PORT, LAST_PORT, LOOPBACK
+from cranberryrelay.timing import open_timer_service
 
 BOUNDS = PlatformBounds(
     stable_seconds=3,
@@ -131,3 +138,16 @@
         ):
             probe.bind((LOOPBACK, port))
             return port
+
+
+@asynccontextmanager
+async def open_mock_context(
+    state: RelayState, respond: Callable[[httpx.Request], httpx.Response]
+) -> AsyncIterator[RelayContext]:
+    """Open the services of an instance whose upstreams are mocked."""
+    transport = httpx.MockTransport(respond)
+    async with (
+        open_timer_service() as timers,
+        httpx.AsyncClient(transport=transport) as client,
+    ):
+        yield RelayContext(state, client, TargetDialect(), timers)
--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -28,7 +28,6 @@
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BufferedReply,
-    RelayContext,
     StreamReply,
 )
 from cranberryrelay.relay._pipeline import RelayPipeline
@@ -44,8 +43,8 @@
     make_plain_table,
     make_route,
     make_settings,
+    open_mock_context,
 )
-from cranberryrelay.timing import open_timer_service
 
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
 HEAD_END = b'\r\n\r\n'
@@ -282,15 +281,13 @@
     def respond(request: httpx.Request) -> httpx.Response:
         return httpx.Response(503, headers=STATEMENTS)
 
-    transport = httpx.MockTransport(respond)
     async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
+        open_mock_context(state, respond) as context,
         AsyncExitStack() as stack,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
+        deadline = context.timers.now() + 4
         admitted = AdmittedRequest(
-            make_arrival('r1'), route, 's', 1, timers.now() + 4, stack
+            make_arrival('r1'), route, 's', 1, deadline, stack
         )
         await PlainRun(context, admitted).run()
 
@@ -329,14 +326,11 @@
     request = make_arrival('r1')._replace(
         headers=((b'Host', b'a.example'), (ID_HEADER.encode(), b'r1'))
     )
-    transport = httpx.MockTransport(respond)
     async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
+        open_mock_context(state, respond) as context,
         AsyncExitStack() as stack,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
-        arrived = request._replace(arrived_at=timers.now())
+        arrived = request._replace(arrived_at=context.timers.now())
         return await RelayPipeline(context).serve(arrived, stack)
 
 
--- a/cranberryrelay/relay/tests/test_leaving_upstreams.py
+++ b/cranberryrelay/relay/tests/test_leaving_upstreams.py
@@ -13,7 +13,6 @@
 from nose2.tools import params
 from trio.testing import MockClock
 
-from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import (
     ClientLimits,
     KindRecord,
@@ -24,7 +23,7 @@
     Role,
     Upstream,
 )
-from cranberryrelay.relay._context import AdmittedRequest, RelayContext
+from cranberryrelay.relay._context import AdmittedRequest
 from cranberryrelay.relay._plain_path import PlainRun
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
@@ -35,6 +34,7 @@
     make_plain_table,
     make_route,
     make_settings,
+    open_mock_context,
 )
 from cranberryrelay.relay.tests.fleet_play import (
     EVENTS,
@@ -50,7 +50,6 @@
     make_replica,
     make_upstream_record,
 )
-from cranberryrelay.timing import open_timer_service
 
 PLAY_SECONDS = 20.0
 LEAVES_AT = 10.0
@@ -153,12 +152,7 @@
             Upstream(name, 1, 's', f'{name}:1', 'a', slots, False, Role.PLAIN),
             'test',
         )
-    transport = httpx.MockTransport(respond)
-    async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
-    ):
-        context = RelayContext(state, client, TargetDialect(), timers)
+    async with open_mock_context(state, respond) as context:
         for number in range(CALLS):
             async with AsyncExitStack() as stack:
                 request_id = f'r{number}'
@@ -166,7 +160,7 @@
                     headers=((ID_HEADER.encode(), request_id.encode()),)
                 )
                 admitted = AdmittedRequest(
-                    request, route, 's', 1, timers.now() + 4, stack
+                    request, route, 's', 1, context.timers.now() + 4, stack
                 )
                 await PlainRun(context, admitted).run()
 
--- a/cranberryrelay/relay/tests/test_resting_upstreams.py
+++ b/cranberryrelay/relay/tests/test_resting_upstreams.py
@@ -13,7 +13,6 @@
 from trio.testing import MockClock
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode
-from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import (
     ClientLimits,
     ModelRequest,
@@ -33,6 +32,7 @@
     make_route,
     make_settings,
     make_table,
+    open_mock_context,
 )
 from cranberryrelay.relay.tests.fleet_play import (
     EVENTS,
@@ -41,7 +41,6 @@
     STAGE_HEADER,
     EventBody,
 )
-from cranberryrelay.timing import open_timer_service
 
 NOT_RUN = {'X-Cranberryrelay-Not-Executed': '1'}
 REST_SECONDS = 3.0
@@ -206,13 +205,10 @@
         role = ROLES[name[0]]
         upstream = Upstream(name, 1, 's', f'{name}:1', 'a', 64, False, role)
         state.apply_upstream(upstream, 'test')
-    transport = httpx.MockTransport(upstreams.respond)
     async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
+        open_mock_context(state, upstreams.respond) as context,
         trio.open_nursery() as nursery,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
         for number in range(REQUESTS):
             nursery.start_soon(send, context, route, f'r{number}', outcomes)
             await trio.sleep(INTERVAL_SECONDS)
--- a/cranberryrelay/relay/tests/test_resumed_streams.py
+++ b/cranberryrelay/relay/tests/test_resumed_streams.py
@@ -14,16 +14,18 @@
 from nose2.tools import params
 
 from cranberryrelay.codes import ExecutionState, Failure
-from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import RequestKind, Role
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BrokenStreamError,
-    RelayContext,
     StreamReply,
 )
 from cranberryrelay.relay._model_path import ModelRun
-from cranberryrelay.relay.tests.fixtures import make_arrival, make_route
+from cranberryrelay.relay.tests.fixtures import (
+    make_arrival,
+    make_route,
+    open_mock_context,
+)
 from cranberryrelay.relay.tests.test_model_path import (
     EVENTS,
     ID_HEADER,
@@ -33,7 +35,6 @@
     make_state,
     respond_with,
 )
-from cranberryrelay.timing import open_timer_service
 
 # Events that the first engine sends before it breaks off.
 SENT = EVENTS[:2]
@@ -129,17 +130,13 @@
     engines: Engines, resumable: bool, attempts_limit: int = 2
 ) -> tuple[bytes, bool]:
     """Return what the caller received, and whether it ended as complete."""
-    transport = httpx.MockTransport(engines.respond)
+    state = make_state(('d1', 'd2', 'd3'))
     async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
+        open_mock_context(state, engines.respond) as context,
         AsyncExitStack() as stack,
     ):
-        context = RelayContext(
-            make_state(('d1', 'd2', 'd3')), client, TargetDialect(), timers
-        )
         admitted = admit(
-            timers.now(),
+            context.timers.now(),
             stack,
             resumable=resumable,
             attempts_limit=attempts_limit,
@@ -181,16 +178,12 @@
             state.remove_upstream('p1', 'test')
         raise httpx.ReadError('reset')
 
-    transport = httpx.MockTransport(respond)
     async with (
-        open_timer_service() as timers,
-        httpx.AsyncClient(transport=transport) as client,
+        open_mock_context(state, respond) as context,
         AsyncExitStack() as stack,
     ):
-        context = RelayContext(state, client, TargetDialect(), timers)
-        outcome = await ModelRun(
-            context, admit(timers.now(), stack, resumable=True)
-        ).run()
+        admitted = admit(context.timers.now(), stack, resumable=True)
+        outcome = await ModelRun(context, admitted).run()
     return outcome.unwrap_err()
 
 
