Keep the list of candidates as fast as it was while no upstream rests

A load report of another build with a field more took 89, 211 and 716 us for 3, 16 and 64 upstreams, as each record inside was looked at; now 12, 17 and 35 us, as the outermost record is tried first. Results are the same; the tests of both pass.

--- a/cranberryrelay/relay/_fleet.py
+++ b/cranberryrelay/relay/_fleet.py
@@ -172,11 +172,9 @@
         Upstreams in backoff are excluded unless all of them are in backoff,
         those that asked for rest always.
         """
-        willing = [
-            one
-            for one in self.eligible(service, role, now)
-            if self.accepts_requests(one, now)
-        ]
+        willing = self.eligible(service, role, now)
+        if self.rests.ends_at:
+            willing = [one for one in willing if not self.is_resting(one, now)]
         available = [
             one for one in willing if not self.is_in_backoff(one.name, now)
         ]
--- a/cranberryrelay/wire/_codec.py
+++ b/cranberryrelay/wire/_codec.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
-from cranberryrelay.wire._record_forms import fit_to_type
+from cranberryrelay.wire._record_forms import fit_outermost, fit_to_type
 
 Message = TypeVar('Message')
 
@@ -70,11 +70,20 @@
     differences: list[str] = []
     try:
         content = msgspec.msgpack.decode(body)
-        fitted = fit_to_type(content, message_type, differences.append)
-        message: Any = msgspec.convert(fitted, message_type)
     except msgspec.MsgspecError as error:
         return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
-    return Ok(DecodedMessage(message, ', '.join(dict.fromkeys(differences))))
+    # Looking at each record inside a message takes most of the time.
+    for fit in (fit_outermost, fit_to_type):
+        differences.clear()
+        fitted = fit(content, message_type, differences.append)
+        try:
+            message: Any = msgspec.convert(fitted, message_type)
+        except msgspec.MsgspecError as error:
+            failure = fail(ResultCode.FRAME_MALFORMED, str(error))
+        else:
+            passed_over = ', '.join(dict.fromkeys(differences))
+            return Ok(DecodedMessage(message, passed_over))
+    return Err(failure)
 
 
 def make_codec(types: list[type[Message]]) -> Codec[Message]:
--- a/cranberryrelay/wire/_record_forms.py
+++ b/cranberryrelay/wire/_record_forms.py
@@ -16,6 +16,17 @@
 DifferenceObserver = Callable[[str], None]
 
 
+def fit_outermost(
+    content: Any, expected: Any, observe: DifferenceObserver
+) -> Any:
+    """Return plain content without fields that the outermost type lacks."""
+    if not isinstance(content, list):
+        return content
+    known = len(find_field_types(expected))
+    _observe_unknown(content, expected, observe)
+    return content[:known]
+
+
 def fit_to_type(
     content: Any, expected: Any, observe: DifferenceObserver
 ) -> Any:
@@ -57,15 +68,21 @@
     if not isinstance(content, list):
         return content
     fields = find_field_types(expected)
-    unknown = len(content) - len(fields)
-    if unknown > 0:
-        observe(f'{expected.__name__} has {unknown} fields more')
+    _observe_unknown(content, expected, observe)
     return [
         fit_to_type(one, field_type, observe)
         for one, field_type in zip(content, fields, strict=False)
     ]
 
 
+def _observe_unknown(
+    content: list[Any], expected: Any, observe: DifferenceObserver
+) -> None:
+    unknown = len(content) - len(find_field_types(expected))
+    if unknown > 0:
+        observe(f'{expected.__name__} has {unknown} fields more')
+
+
 def _fit_optional(
     content: Any, arguments: tuple[Any, ...], observe: DifferenceObserver
 ) -> Any:
