--- a/cranberryrelay/relay/tests/landed_forms.py
+++ b/cranberryrelay/relay/tests/landed_forms.py
@@ -6,6 +6,8 @@
 
 import json
 import sys
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, get_args, get_type_hints
 
 from cranberryrelay.relay import Role
@@ -72,6 +74,11 @@
     StreamSummary([AnnouncedStreams('s', 'v1', [3])], {'s': ['v1', 'v2']}),
 )
 
+# Fields of messages of later kinds, which earlier builds do not have.
+LATER_MESSAGES: Mapping[str, tuple[Any, ...]] = MappingProxyType(
+    {'DepartureNews': (['i-1/17'],), 'StartNotice': (18,)}
+)
+
 
 def list_records(types: tuple[Any, ...]) -> dict[str, Any]:
     """Return the record types that travel in messages, by name."""
@@ -94,11 +101,16 @@
 def describe_forms() -> dict[str, Any]:
     """Return the frames and the records of this build."""
     codec = make_codec(list(PEER_MESSAGE_TYPES))
+    later = tuple(
+        codec.types[kind](*fields)
+        for kind, fields in LATER_MESSAGES.items()
+        if kind in codec.types
+    )
     records = list_records(tuple(PEER_MESSAGE_TYPES))
     return {
         'frames': {
             type(message).__name__: codec.encode(message)[1].hex()
-            for message in MESSAGES
+            for message in (*MESSAGES, *later)
         },
         'records': {
             name: describe_fields(record)
