Pass on a stream whose events are numbered from zero

Found on reading the change again: the check that an event follows the last one took a missing last number for zero, so a sound stream whose first event has the number 0 would have been broken off before it began. Without a last event any number follows now. EventOrderTest: row 1 of 8 fails without the change.

--- a/cranberryrelay/relay/_events.py
+++ b/cranberryrelay/relay/_events.py
@@ -30,7 +30,9 @@
         """
         if self.content.startswith(_COMMENT):
             return True
-        return self.number is not None and self.number > (last_number or 0)
+        if self.number is None:
+            return False
+        return last_number is None or self.number > last_number
 
 
 class EventSplitter:
--- a/cranberryrelay/relay/tests/test_unframed_answers.py
+++ b/cranberryrelay/relay/tests/test_unframed_answers.py
@@ -138,3 +138,25 @@
                 await upstream.closed.wait()
         nursery.cancel_scope.cancel()
     return body.unwrap() if body.is_ok() else body.unwrap_err().code
+
+
+class EventOrderTest(TestCase):
+    """Which events continue a stream."""
+
+    # Guards against dropping a sound stream whose numbers begin with zero, and
+    # against passing on events that do not follow.
+    @params(
+        (b'id: 0', None, True),
+        (b'id: 7', None, True),
+        (b'id: 1', 0, True),
+        (b'id: 0', 0, False),
+        (b'id: 3', 3, False),
+        (b': comment', 3, True),
+        (b'data: x', None, False),
+        (b'HTTP/1.1 500 Error', None, False),
+    )
+    def test_event_follows(
+        self, line: bytes, last: int | None, follows: bool
+    ) -> None:
+        (event,) = EventSplitter().feed(line + b'\n\n')
+        self.assertEqual(event.follows(last), follows)
