--- a/cranberryrelay/relay/tests/test_unframed_answers.py
+++ b/cranberryrelay/relay/tests/test_unframed_answers.py
@@ -158,5 +158,6 @@
     def test_event_follows(
         self, line: bytes, last: int | None, follows: bool
     ) -> None:
-        (event,) = EventSplitter().feed(line + b'\n\n')
-        self.assertEqual(event.follows(last), follows)
+        events = EventSplitter().feed(b'%b\n\n' % line)
+        found = [event.follows(last) for event in events]
+        self.assertEqual(found, [follows])
