Choose the builds of the soak where its instances are made

Read again: the site kept the builds only to hand them on, PYTHONPATH was set though the interpreter looks in the working folder first, and it replaced the one of whoever runs the soak.

--- a/cranberryrelay/soak/_child.py
+++ b/cranberryrelay/soak/_child.py
@@ -48,7 +48,8 @@
         self.log = log
         self.variables = variables
 
-        # Folders of the sources that it runs, in turn with each start.
+        # Folders of the sources that it runs, in turn with each start; the
+        # interpreter looks for a module in its folder first.
         self.builds = builds
         self.process: trio.Process | None = None
         self.last_signal: signal.Signals | None = None
@@ -67,11 +68,7 @@
                 stdout=stream,
                 stderr=subprocess.STDOUT,
                 cwd=build,
-                env={
-                    **os.environ,
-                    'PYTHONPATH': str(build.resolve()),
-                    **self.variables,
-                },
+                env={**os.environ, **self.variables},
             )
 
     def is_running(self) -> bool:
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -63,9 +63,6 @@
         self.leaving_periods: list[LeavingPeriod] = []
         self.incarnation = 1
 
-        # Folders of the builds that instances run, in turn.
-        self.builds: tuple[Path, ...] = (Path(),)
-
     def acked_version(self) -> int:
         """Return the newest acknowledged version of the note; 0 for none."""
         return self.notes[-1].version if self.notes else 0
@@ -139,11 +136,13 @@
     async with AsyncExitStack() as stack:
         store = await stack.enter_async_context(open_target_store(url))
         site = Site(layout, timers, store)
-        site.builds = builds
         stack.push_async_callback(_kill_all, site)
         await _start_upstreams(site, stack)
-        for instance in layout.instances:
-            await _start_instance(site, instance, relay_command, stack)
+        for idx, instance in enumerate(layout.instances):
+            first = idx % len(builds)
+            in_turn = (*builds[first:], *builds[:first])
+            child = _make_instance(layout, instance, relay_command, in_turn)
+            await _start_instance(site, instance, child, stack)
         for instance in layout.instances:
             await site.wait_ready(instance)
         yield site
@@ -178,22 +177,29 @@
         await site.put_upstream(upstream)
 
 
-async def _start_instance(
-    site: Site,
+def _make_instance(
+    layout: Layout,
     instance: InstanceConfig,
     relay_command: tuple[str, ...],
-    stack: AsyncExitStack,
-) -> None:
-    layout = site.layout
+    builds: tuple[Path, ...],
+) -> ChildProcess:
     boot = write_boot(layout, instance).resolve()
-    first = layout.instances.index(instance) % len(site.builds)
-    child = ChildProcess(
+    return ChildProcess(
         instance.name,
         list(relay_command),
         layout.folder / f'{instance.name}.log',
         MappingProxyType({_BOOT_VARIABLE: str(boot)}),
-        (*site.builds[first:], *site.builds[:first]),
+        builds,
     )
+
+
+async def _start_instance(
+    site: Site,
+    instance: InstanceConfig,
+    child: ChildProcess,
+    stack: AsyncExitStack,
+) -> None:
+    layout = site.layout
     site.instances[instance.name] = child
     site.store_links[instance.name] = await stack.enter_async_context(
         open_proxy(instance.store_port, (LOOPBACK, layout.store_port), LOOPBACK)
