Say "not run" after an engine's error only if its status proves it

Callers were told that a generation had not run after any error status of an engine, a 500 in mid-work included, once no engine was left to try.

Cause: run_attempt gave each status that is no success the state NOT_RUN. The function that knows which statuses prove it, execution_state_after_status, was tested, and nothing called it.

Evidence: AttemptStatusTest, row 500, on the code before: 'NOT_RUN is not MAY_HAVE_RUN', 15 passed, 1 failed. With the change 16 passed, 0 failed.

--- a/cranberryrelay/entry/_exchange.py
+++ b/cranberryrelay/entry/_exchange.py
@@ -264,10 +264,10 @@
             'POST', url, content=encode_record(body)
         ) as response:
             if not response.is_success:
-                detail = f'{assignment.engine}: status {response.status_code}'
-                failure = fail(
-                    ResultCode.UPSTREAM_FAILED, detail, ExecutionState.NOT_RUN
-                )
+                status = response.status_code
+                detail = f'{assignment.engine}: status {status}'
+                ran = execution_state_after_status(status)
+                failure = fail(ResultCode.UPSTREAM_FAILED, detail, ran)
                 yield AttemptFailed(failure, crashed=False)
                 return
             started = True
--- a/cranberryrelay/entry/tests/test_exchange.py
+++ b/cranberryrelay/entry/tests/test_exchange.py
@@ -1,7 +1,10 @@
 """Tests of the execution state after attempts and of the decode handoff."""
 
+from contextlib import aclosing
 from unittest import TestCase
 
+import httpx
+import trio
 from nose2.tools import params
 
 from cranberryrelay.codes import ExecutionState, ResultCode, fail
@@ -12,6 +15,7 @@
     execution_state_after_attempt,
     execution_state_after_status,
     needs_decode_handoff,
+    run_attempt,
 )
 
 NOT_RUN = ExecutionState.NOT_RUN
@@ -65,6 +69,27 @@
         self.assertIs(execution_state_after_status(status), ran)
 
 
+async def find_state_after_answer(status: int) -> ExecutionState:
+    """Return the execution state of an attempt that an engine answered so."""
+    transport = httpx.MockTransport(lambda _: httpx.Response(status))
+    assignment = EngineAssignment('e', 'a:1', 1, '1', prefill_only=False)
+    body = GenerateBody('x', 'm', 'p', 0, 8, 1, 'c', '')
+    async with (
+        httpx.AsyncClient(transport=transport) as client,
+        aclosing(run_attempt(client, assignment, body)) as events,
+    ):
+        failed = [one async for one in events if isinstance(one, AttemptFailed)]
+    return failed[0].failure.ran
+
+
+class AttemptStatusTest(TestCase):
+    """Guards against "not run" after an engine's error that does not say so."""
+
+    @params((404, NOT_RUN), (503, NOT_RUN), (500, MAY_HAVE_RUN))
+    def test_refused_attempt(self, status: int, ran: ExecutionState) -> None:
+        self.assertIs(trio.run(find_state_after_answer, status), ran)
+
+
 class DecodeHandoffTest(TestCase):
     """Guards against a handoff of answers that a decode engine generated."""
 
