Retry a first attempt that did not run without a charge on the budget

An attempt that its engine broke off is reported as one that may have run, so a refusal that says 'not run' can only come from attempts that found the engine down. Each of those took one of the three tokens of its caller and rank, though the engine did no work for it, and the retries before the test's requests (models that are not loaded yet answer so as well) took some.

Change: the retry of a first attempt takes no token if it is proved that the engine did not run it, as for one that crashed. There is at most one such retry a request, and a request keeps its slot meanwhile, so the load is not multiplied. Later retries are charged as before.

Evidence: RetryTest, 64 first attempts that did not run: 3 of 64 were retried before, 64 now.

--- a/cranberryrelay/entry/__init__.py
+++ b/cranberryrelay/entry/__init__.py
@@ -61,6 +61,9 @@
 from cranberryrelay.entry._exchange import (
     needs_decode_handoff as needs_decode_handoff,
 )
+from cranberryrelay.entry._exchange import (
+    request_next_engine as request_next_engine,
+)
 from cranberryrelay.entry._exchange import run_attempt as run_attempt
 from cranberryrelay.entry._http_app import (
     BODY_BYTES_HARD_LIMIT as BODY_BYTES_HARD_LIMIT,
--- a/cranberryrelay/entry/_exchange.py
+++ b/cranberryrelay/entry/_exchange.py
@@ -180,7 +180,7 @@
             yield CompletedAnswer(received_tokens)
             return
         ran = execution_state_after_attempt(ran, failed_attempt)
-        next_grant = await _request_next_engine(
+        next_grant = await request_next_engine(
             actor, grant, failed_attempt, body.exchange
         )
         if isinstance(next_grant, FailedAnswer):
@@ -228,19 +228,25 @@
     return ExecutionState.NOT_RUN
 
 
-async def _request_next_engine(
+async def request_next_engine(
     actor: CoreActor,
     grant: SlotGrant,
     failed_attempt: AttemptFailed | None,
     attempt_id: str,
 ) -> SlotGrant | FailedAnswer:
+    """Request the next engine after an attempt; None for one that succeeded."""
     if failed_attempt is None:
         return await _request_engine(actor, HandOffToDecode(grant.slot_id))
-    if failed_attempt.failure.code is ResultCode.DEADLINE_PASSED:
-        return FailedAnswer(failed_attempt.failure)
-    return await _request_engine(
-        actor, ReassignSlot(grant.slot_id, failed_attempt.crashed, attempt_id)
+    failure = failed_attempt.failure
+    if failure.code is ResultCode.DEADLINE_PASSED:
+        return FailedAnswer(failure)
+    reassign = ReassignSlot(
+        grant.slot_id,
+        failed_attempt.crashed,
+        attempt_id,
+        not_run=failure.ran is ExecutionState.NOT_RUN,
     )
+    return await _request_engine(actor, reassign)
 
 
 async def _request_engine(
--- a/cranberryrelay/entry/_messages.py
+++ b/cranberryrelay/entry/_messages.py
@@ -91,6 +91,9 @@
     # Id of the failed attempt.
     attempt_id: str
 
+    # True if it is proved that the engine did not run the attempt.
+    not_run: bool = False
+
 
 class HandOffToDecode(NamedTuple):
     """Requests an engine that decodes what the current one has prefilled."""
--- a/cranberryrelay/entry/_slots.py
+++ b/cranberryrelay/entry/_slots.py
@@ -552,7 +552,11 @@
     )
     refused = manager.suspects.must_refuse(request.fingerprint, now)
     allowed = not refused and manager.retry_budget.allow_retry(
-        request.caller, request.rank, slot.attempts, crashed=command.crashed
+        request.caller,
+        request.rank,
+        slot.attempts,
+        crashed=command.crashed,
+        not_run=command.not_run,
     )
     if not allowed:
         manager.release_slot(command.slot_id)
--- a/cranberryrelay/entry/tests/test_exchange.py
+++ b/cranberryrelay/entry/tests/test_exchange.py
@@ -1,20 +1,24 @@
 """Tests of the execution state after attempts and of the decode handoff."""
 
 from contextlib import aclosing
-from unittest import TestCase
+from unittest import TestCase, mock
 
 import httpx
 import trio
 from nose2.tools import params
+from result import Ok
 
 from cranberryrelay.codes import ExecutionState, ResultCode, fail
 from cranberryrelay.entry import (
     AttemptFailed,
     EngineAssignment,
     GenerateBody,
+    ReassignSlot,
+    SlotGrant,
     execution_state_after_attempt,
     execution_state_after_status,
     needs_decode_handoff,
+    request_next_engine,
     run_attempt,
 )
 
@@ -107,3 +111,20 @@
         self.assertEqual(
             needs_decode_handoff(assignment, body, received), expected
         )
+
+
+class NextEngineTest(TestCase):
+    """Guards against a charge on the retry budget for what did not run."""
+
+    @params((NOT_RUN, True), (MAY_HAVE_RUN, False))
+    def test_execution_state_is_passed_on(
+        self, ran: ExecutionState, not_run: bool
+    ) -> None:
+        grant = SlotGrant(7, EngineAssignment('e', 'a', 1, '1', False))
+        actor = mock.Mock(ask=mock.AsyncMock(return_value=Ok(grant)))
+        trio.run(
+            request_next_engine, actor, grant, make_failed_attempt(ran), 'x'
+        )
+        actor.ask.assert_awaited_once_with(
+            ReassignSlot(7, False, 'x', not_run=not_run)
+        )
--- a/cranberryrelay/policy/_retries.py
+++ b/cranberryrelay/policy/_retries.py
@@ -26,18 +26,25 @@
         )
 
     def allow_retry(
-        self, caller: str, rank: str, attempts: int, *, crashed: bool
+        self,
+        caller: str,
+        rank: str,
+        attempts: int,
+        *,
+        crashed: bool,
+        not_run: bool = False,
     ) -> bool:
         """Return whether a request may be retried; takes a token if needed.
 
         ``attempts`` is the number of attempts made so far; ``crashed`` is true
-        if the last one failed because its engine ended.  The retry of a first
-        attempt that failed in this way takes no token: the number of such
-        retries is bounded by the number of requests that the engine ran.
+        if the last one failed because its engine ended, ``not_run`` if it is
+        proved that the engine did not run it.  The retry of a first attempt
+        that failed in one of these ways takes no token: the engine does no
+        work for it any more, and there is one such retry a request at most.
         """
         if attempts >= ATTEMPTS_LIMIT:
             return False
-        if crashed and attempts == 1:
+        if attempts == 1 and (crashed or not_run):
             return True
         return self.take_token(caller, rank)
 
--- a/cranberryrelay/policy/tests/test_policy.py
+++ b/cranberryrelay/policy/tests/test_policy.py
@@ -269,3 +269,18 @@
             ]
             self.assertEqual(sum(allowed), 3)
         self.assertFalse(budget.allow_retry('other', 'urgent', 3, crashed=True))
+
+    # Guards against requests refused for want of a retry though their engine
+    # was down and ran none of them.
+    @params((1, 64), (2, 3), (3, 0))
+    def test_attempts_that_did_not_run(
+        self, attempts: int, expected: int
+    ) -> None:
+        budget = RetryBudget()
+        allowed = [
+            budget.allow_retry(
+                'caller', 'urgent', attempts, crashed=False, not_run=True
+            )
+            for _ in range(64)
+        ]
+        self.assertEqual(sum(allowed), expected)
