Wait for a silent engine when its stream can't go on from the backup

Callers saw: a stream broken off without its end, and no word why, while its engine was only silent for about a second.

Cause: a stream with a backup closed its engine's connection after 0.75 s of silence, and only then asked the engine with the backup. If that had no copy yet, could not be reached, was silent or resting itself, or if the retry budget was spent, nothing was left to go on with. All streams of a busy engine fall silent together and share one budget, so a part of them was cut each time. A silence at the start of an answer was kept as evidence of a crash as well. Class: silence is taken for an end, and the way back is burnt before the way ahead is known to hold.

Change: after 1.5 s without a byte the switch is tried while the silent engine is still read. Its connection is closed when the backup has accepted; if it doesn't, the silent engine is waited for until the deadline. The time is beyond the silence of a sound engine and half a second below the shortest patience of callers. The backup is kept for a later break if it wasn't asked.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -11,7 +11,7 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._attempts import EngineAttempts
 from cranberryrelay.relay._backlog import InFlightCall
-from cranberryrelay.relay._catalogue import Role, Upstream
+from cranberryrelay.relay._catalogue import Role, Route, Upstream
 from cranberryrelay.relay._clearance import ClearanceGate
 from cranberryrelay.relay._context import (
     AdmittedRequest,
@@ -33,6 +33,7 @@
 )
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import KvSource, UpstreamCall
+from cranberryrelay.relay._stalled_read import read_or_replace
 from cranberryrelay.relay._upstream_call import (
     UpstreamResponse,
     read_body,
@@ -44,12 +45,13 @@
 # the KV cache.
 BACKUP_TOKENS_LIMIT: Final = 4000
 
-# A stream that has a backup switches to it after a pause of STALL_FACTOR times
-# the route's longest acceptable gap between events, but of no less than
-# STALL_SECONDS.  Streams without a backup keep waiting, as the engine may have
-# preempted them.
+# A stream that has a backup tries to switch to it after a pause of STALL_FACTOR
+# times the route's longest acceptable gap between events, but of no less than
+# STALL_SECONDS: a sound engine may be silent for a second or so, and callers
+# abandon a stream after two.  Streams without a backup keep waiting, as the
+# engine may have preempted them.
 STALL_FACTOR: Final = 5.0
-STALL_SECONDS: Final = 0.75
+STALL_SECONDS: Final = 1.5
 
 # Refusals by decode engines with which the KV cache of the prompt is still
 # used.  After more, the prefill is repeated, as the cache may be gone.
@@ -68,6 +70,11 @@
 )
 
 
+# Reason to try a switch to the backup.
+_SILENT: Final = fail(
+    ResultCode.STREAM_BROKEN, 'no bytes arrived within the pause limit'
+)
+
 # Failures of an engine that sent something else than the rest of a stream.
 _FAULTY_ANSWERS: Final = frozenset(
     (
@@ -333,20 +340,30 @@
     ) -> AsyncIterator[bytes]:
         """Yield whole events; resumes on another engine where allowed."""
         while True:
-            broken = fail(
-                ResultCode.STREAM_BROKEN,
-                'the stream ended in the middle of an event',
-            )
+            ended: Failure | UpstreamResponse | None = None
             async for item in self.read_events(response):
-                if isinstance(item, Failure):
-                    broken = item
+                if not isinstance(item, Event):
+                    ended = item
                     break
                 yield item.content
-            else:
+            if ended is None:
                 self.gate.record_proven()
                 self.log.log_answered(self.context.timers.now())
                 return
-            response = await self.resume(response, broken)
+            response = await self.go_on(response, ended)
+
+    async def go_on(
+        self, response: UpstreamResponse, ended: Failure | UpstreamResponse
+    ) -> UpstreamResponse:
+        """Return the response with the rest of a stream.
+
+        ``ended`` is the response of an engine that has taken a silent one's
+        place, or why the stream broke.
+        """
+        if isinstance(ended, Failure):
+            return await self.resume(response, ended)
+        await response.close()
+        return ended
 
     async def resume(
         self, response: UpstreamResponse, broken: Failure
@@ -390,12 +407,12 @@
         backup = self.backup_engine
         if backup is None or not self.log.event_count:
             return Err(failure)
-        self.backup_engine = None
         now = self.context.timers.now()
         if self.context.state.fleet.is_resting(backup, now):
             return Err(failure)
         if not self.take_retry():
             return Err(failure)
+        self.backup_engine = None
         source = KvSource(backup.address, self.admitted.request.request_id)
         call = self.make_call(backup)._replace(
             source=source, resume_after=self.last_event_number
@@ -404,15 +421,49 @@
         self.log.write('copy used', ok=outcome.is_ok(), detail=failure.detail)
         return outcome if outcome.is_ok() else Err(failure)
 
+    async def switch_to_backup(self) -> UpstreamResponse | None:
+        """Go on from the backup while the engine is silent; None if not.
+
+        The silent engine stays the one that generates until the other one has
+        accepted.
+        """
+        silent = self.engine, self.engine_event_count, self.generation_sent_at
+        switched: UpstreamResponse | None = None
+        try:
+            outcome = await self.resume_from_backup(_SILENT)
+            response = outcome.ok()
+            if response is not None and response.status == HTTPStatus.OK:
+                switched = response
+        finally:
+            if switched is None:
+                self.restore_engine(*silent)
+        if response is not None and switched is None:
+            await response.close()
+        return switched
+
+    def restore_engine(
+        self, engine: Upstream | None, event_count: int, sent_at: float
+    ) -> None:
+        """Record that an engine still generates after a failed switch."""
+        self.engine = engine
+        self.engine_event_count = event_count
+        self.generation_sent_at = sent_at
+        if engine is not None:
+            self.log.record_decode_engine(engine)
+
     async def read_events(
         self, response: UpstreamResponse
-    ) -> AsyncIterator[Event | Failure]:
-        """Yield events; the last item is a failure if the stream broke."""
+    ) -> AsyncIterator[Event | Failure | UpstreamResponse]:
+        """Yield events.
+
+        The last item is a failure if the stream broke, or the response of
+        another engine that has taken the place of a silent one.
+        """
         splitter = EventSplitter()
         chunks = response.chunks()
         while True:
             chunk = await self.next_chunk(chunks)
-            if isinstance(chunk, Failure):
+            if isinstance(chunk, Failure | UpstreamResponse):
                 yield chunk
                 return
             if chunk is None:
@@ -462,26 +513,36 @@
 
     async def next_chunk(
         self, chunks: AsyncIterator[bytes]
-    ) -> bytes | Failure | None:
-        """Return the next chunk, None at the end of the body, or a failure."""
-        with limit_time(min(self.remaining_seconds(), self.pause_limit())):
-            try:
-                return await anext(chunks, None)
-            except httpx.HTTPError as error:
-                return fail(ResultCode.STREAM_BROKEN, repr(error))
-        if self.remaining_seconds() > 0:
-            return fail(
-                ResultCode.STREAM_BROKEN,
-                'no bytes arrived within the pause limit',
+    ) -> bytes | Failure | UpstreamResponse | None:
+        """Return the next chunk, None at the end of the body, or a failure.
+
+        A response is that of another engine which has taken the place of a
+        silent one.
+        """
+        read = partial(read_chunk, chunks)
+        with limit_time(self.remaining_seconds()):
+            if self.backup_engine is None or not self.log.event_count:
+                return await read()
+            return await read_or_replace(
+                read,
+                self.switch_to_backup,
+                find_stall_seconds(self.admitted.route),
+                self.context.timers,
             )
         return fail(
             ResultCode.DEADLINE_PASSED,
             'the deadline passed before the stream was complete',
         )
 
-    def pause_limit(self) -> float:
-        """Return the seconds to wait for the next chunk of the stream."""
-        if self.backup_engine is None or not self.log.event_count:
-            return self.remaining_seconds()
-        pause = self.admitted.route.event_gap_target_seconds * STALL_FACTOR
-        return max(pause, STALL_SECONDS)
+
+def find_stall_seconds(route: Route) -> float:
+    """Return the silence after which a switch to the backup is tried."""
+    return max(route.event_gap_target_seconds * STALL_FACTOR, STALL_SECONDS)
+
+
+async def read_chunk(chunks: AsyncIterator[bytes]) -> bytes | Failure | None:
+    """Return the next chunk, None at the end of the body, or a failure."""
+    try:
+        return await anext(chunks, None)
+    except httpx.HTTPError as error:
+        return fail(ResultCode.STREAM_BROKEN, repr(error))
--- a/cranberryrelay/relay/tests/fixtures.py
+++ b/cranberryrelay/relay/tests/fixtures.py
@@ -2,7 +2,7 @@
 
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager, suppress
 
 import httpx
@@ -142,7 +142,9 @@
 
 @asynccontextmanager
 async def open_mock_context(
-    state: RelayState, respond: Callable[[httpx.Request], httpx.Response]
+    state: RelayState,
+    respond: Callable[[httpx.Request], httpx.Response]
+    | Callable[[httpx.Request], Coroutine[None, None, httpx.Response]],
 ) -> AsyncIterator[RelayContext]:
     """Open the services of an instance whose upstreams are mocked."""
     transport = httpx.MockTransport(respond)
