Send a request on another connection if the first was closed unused

Callers saw: 502 (4101 or 4103, may have run) for a request whose connection to an engine, a service or a peer had been closed, reset or written to before the first byte of the request was sent. Nobody had the request. For a call that may run once this 502 is final; for the store, the outcome counted as unknown.

Cause: httpcore looks at a kept connection when it assigns it. The request is written some turns of the event loop later, after expired connections have been closed one by one. A close that arrives in between is met by the write, whose error httpcore drops, and then by the read. A new connection isn't looked at at all, so one that an upstream with too many closes at once looked the same.

Change: the connections to upstreams, peers and the store look at their socket once more right before the first byte of a request, with no checkpoint between the look and the send. A used connection that is readable then is replaced by the pool, at no cost for the caller. A new one fails the attempt with the new code 4111, not run, which doesn't count as an attempt. It isn't taken for an upstream that is gone, as its process accepts connections.

Left as it was: a close that crosses the request on its way ends as 502, may have run, and is repeated only where the kind of request allows it.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -81,6 +81,7 @@
     UPSTREAM_ENTRY_FAULTY = 4108
     UPSTREAM_REPLACED = 4109
     ANSWER_TOO_LARGE = 4110
+    UPSTREAM_CLOSED = 4111
 
     ORDER_FENCED = 5101
     LEASE_LOST = 5102
@@ -364,6 +365,12 @@
             HTTPStatus.BAD_GATEWAY,
             _MAY_HAVE_RUN,
         ),
+        ResultCode.UPSTREAM_CLOSED: CodeEntry(
+            'the upstream closed the connection before the request was sent',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
         ResultCode.ORDER_FENCED: CodeEntry(
             'the order carries an old fencing token', HTTPStatus.CONFLICT
         ),
--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -18,7 +18,7 @@
     RecordChange,
     StorePosition,
 )
-from cranberryrelay.wire import KEEP_ALIVE_OPTIONS
+from cranberryrelay.wire import KeptConnectionTransport
 
 CONNECT_SECONDS: Final = 1.0
 CALL_SECONDS: Final = 2.0
@@ -292,10 +292,8 @@
     async with httpx.AsyncClient(
         base_url=url,
         timeout=httpx.Timeout(CALL_SECONDS, connect=CONNECT_SECONDS),
-        transport=httpx.AsyncHTTPTransport(
-            limits=httpx.Limits(max_connections=CONNECTIONS_LIMIT),
-            socket_options=KEEP_ALIVE_OPTIONS,
-            trust_env=False,
+        transport=KeptConnectionTransport(
+            httpx.Limits(max_connections=CONNECTIONS_LIMIT)
         ),
         trust_env=False,
     ) as client:
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -35,6 +35,7 @@
 from cranberryrelay.relay._requests import KvSource, UpstreamCall
 from cranberryrelay.relay._stalled_read import read_or_replace
 from cranberryrelay.relay._upstream_call import (
+    UNSENT_CODES,
     UpstreamResponse,
     read_body,
 )
@@ -64,7 +65,7 @@
 # engine has not fetched it.
 _KV_CACHE_UNTOUCHED: Final = frozenset(
     (
-        ResultCode.UPSTREAM_UNREACHABLE,
+        *UNSENT_CODES,
         ResultCode.UPSTREAM_REPLACED,
     )
 )
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -18,7 +18,7 @@
 from cranberryrelay.relay._placement import choose_plain_upstream
 from cranberryrelay.relay._request_digest import digest_request
 from cranberryrelay.relay._requests import UpstreamCall
-from cranberryrelay.relay._upstream_call import read_body
+from cranberryrelay.relay._upstream_call import UNSENT_CODES, read_body
 
 # A timeout counts as a failure of the process only if the request has waited
 # longer than this, as the timeout of a route may be shorter.
@@ -65,8 +65,7 @@
                 break
             self.excluded |= {upstream.name}
             failure = outcome.err()
-            unreachable = ResultCode.UPSTREAM_UNREACHABLE
-            attempts += failure is None or failure.code is not unreachable
+            attempts += failure is None or failure.code not in UNSENT_CODES
         return outcome
 
     def prefer_rest(self, failure: Failure) -> Failure:
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -30,7 +30,7 @@
 from cranberryrelay.relay._prefix_index import CachedSegment
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import KvSource, ModelRequest, UpstreamCall
-from cranberryrelay.relay._upstream_call import read_body
+from cranberryrelay.relay._upstream_call import UNSENT_CODES, read_body
 
 # Scheduling priorities that are sent to engines, 0 (first) to 9, by rank.
 ENGINE_PRIORITIES: Final = MappingProxyType(
@@ -101,8 +101,8 @@
                 break
             outcome = await self.prefill_at(chosen)
             failure = outcome.err() or failure
-            unreachable = failure.code is ResultCode.UPSTREAM_UNREACHABLE
-            self.attempts += not (outcome.is_err() and unreachable)
+            unsent = failure.code in UNSENT_CODES
+            self.attempts += not (outcome.is_err() and unsent)
             if isinstance(outcome, Ok):
                 return outcome
             self.record_failure(chosen.engine, failure)
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -59,6 +59,7 @@
 _LOST_LINK_CODES: Final = frozenset(
     (
         ResultCode.UPSTREAM_UNREACHABLE,
+        ResultCode.UPSTREAM_CLOSED,
         ResultCode.UPSTREAM_FAILED,
         ResultCode.UPSTREAM_TIMEOUT,
         ResultCode.STREAM_BROKEN,
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -16,7 +16,7 @@
     UpstreamCall,
 )
 from cranberryrelay.timing import limit_time
-from cranberryrelay.wire import KEEP_ALIVE_OPTIONS
+from cranberryrelay.wire import KeptConnectionTransport, UnsentRequestError
 
 # Opening a connection normally takes a millisecond and a few round trips.
 CONNECT_TIMEOUT_SECONDS: Final = 0.25
@@ -29,6 +29,11 @@
 # Largest body of a response that is read whole, in bytes.
 BODY_BYTES_LIMIT: Final = 4_000_000
 
+# Failures before any part of the request was sent.
+UNSENT_CODES: Final = frozenset(
+    (ResultCode.UPSTREAM_UNREACHABLE, ResultCode.UPSTREAM_CLOSED)
+)
+
 # Errors after which nothing has been sent to the upstream.
 _NOT_SENT: Final = (
     httpx.ConnectError,
@@ -62,14 +67,12 @@
     """Make the HTTP client for all calls to upstreams."""
     client = httpx.AsyncClient(
         timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        transport=httpx.AsyncHTTPTransport(
-            limits=httpx.Limits(
+        transport=KeptConnectionTransport(
+            httpx.Limits(
                 max_connections=CONNECTIONS_LIMIT,
                 max_keepalive_connections=CONNECTIONS_LIMIT,
                 keepalive_expiry=IDLE_CONNECTION_SECONDS,
-            ),
-            socket_options=KEEP_ALIVE_OPTIONS,
-            trust_env=False,
+            )
         ),
         trust_env=False,
     )
@@ -87,11 +90,12 @@
     """Send a call and wait for the headers of its response.
 
     The stack closes the response.  ``observe`` is told of the metadata of any
-    response, also of one that is an error.  Errors: ``UPSTREAM_UNREACHABLE`` if
-    nothing was sent, ``UPSTREAM_REFUSED`` if the upstream states that it did
-    not run the request, ``UPSTREAM_REPLACED`` if a different incarnation now
-    uses its address, ``UPSTREAM_TIMEOUT``, ``UPSTREAM_FAILED``,
-    ``ANSWER_MISMATCH`` if the response belongs to another request.
+    response, also of one that is an error.  Errors: ``UPSTREAM_UNREACHABLE`` or
+    ``UPSTREAM_CLOSED`` if nothing was sent, ``UPSTREAM_REFUSED`` if the
+    upstream states that it did not run the request, ``UPSTREAM_REPLACED`` if a
+    different incarnation now uses its address, ``UPSTREAM_TIMEOUT``,
+    ``UPSTREAM_FAILED``, ``ANSWER_MISMATCH`` if the response belongs to another
+    request.
     """
     with limit_time(call.timeout_seconds) as scope:
         sent = await send_call(client, dialect, call, stack)
@@ -114,7 +118,8 @@
 ) -> Result[UpstreamResponse, Failure]:
     """Send a call; the response is not checked and the time not limited.
 
-    Errors: ``UPSTREAM_UNREACHABLE`` if nothing was sent, ``UPSTREAM_FAILED``.
+    Errors: ``UPSTREAM_UNREACHABLE`` or ``UPSTREAM_CLOSED`` if nothing was sent,
+    ``UPSTREAM_FAILED``.
     """
     incoming = call.request
     request = client.build_request(
@@ -127,6 +132,9 @@
     )
     try:
         http_response = await client.send(request, stream=True)
+    except UnsentRequestError as closed:
+        detail = f'{call.upstream}: {closed!r}'
+        return Err(fail(ResultCode.UPSTREAM_CLOSED, detail))
     except _NOT_SENT as unsent:
         detail = f'{call.upstream}: {unsent!r}'
         return Err(fail(ResultCode.UPSTREAM_UNREACHABLE, detail))
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -14,6 +14,12 @@
 from cranberryrelay.wire._keep_alive import (
     KEEP_ALIVE_OPTIONS as KEEP_ALIVE_OPTIONS,
 )
+from cranberryrelay.wire._kept_connections import (
+    KeptConnectionTransport as KeptConnectionTransport,
+)
+from cranberryrelay.wire._kept_connections import (
+    UnsentRequestError as UnsentRequestError,
+)
 from cranberryrelay.wire._network import PeerNetwork as PeerNetwork
 from cranberryrelay.wire._network import open_peer_network as open_peer_network
 from cranberryrelay.wire._sockets import FRAME_BYTES_LIMIT as FRAME_BYTES_LIMIT
