Use a connection only within the idle time that its upstream announces

Callers saw: 502 (4101, may have run) for requests that were on their way as an engine closed their connection at the end of its idle time; for calls that may run once this is final, others are sent again and use up the retry budget.

Cause: idle connections were used again for 4 s whatever the upstream said. An engine that announces `Keep-Alive: timeout=2` closes at 2 s, and each request that is sent within a transit time of that crosses the close.

Change: the transport reads the time from `Keep-Alive` and uses the connection again only for that time less 0.25 s, at most 4 s as before, counted from the last byte read on the clock of the timer service. Upstreams that announce nothing are treated as before.

--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -23,7 +23,8 @@
 CLOSE_TIMEOUT_SECONDS: Final = 1.0
 CONNECTIONS_LIMIT: Final = 1500
 
-# Idle connections are closed after this time, before the upstreams do so.
+# Idle connections are closed after this time, or before the upstream does so if
+# it announces a shorter one.
 IDLE_CONNECTION_SECONDS: Final = 4.0
 
 # Largest body of a response that is read whole, in bytes.
--- a/cranberryrelay/relay/tests/test_kept_connections.py
+++ b/cranberryrelay/relay/tests/test_kept_connections.py
@@ -15,6 +15,7 @@
 import trio
 from nose2.tools import params
 from result import Result
+from trio.testing import MockClock
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
@@ -45,7 +46,7 @@
 EVENTS = b''.join(b'id: %d\ndata: x\n\n' % number for number in range(1, 5))
 PREFILLED = b'{"transfer_handle": "h", "tokens": 800}'
 NO_LINGER = b'\x01\x00\x00\x00\x00\x00\x00\x00'
-REQUEST_SECONDS = 4.0
+REQUEST_SECONDS = 10.0
 
 # Steps of the HTTP client at which an upstream acts.
 CONNECTED = 'connection.connect_tcp.complete'
@@ -75,6 +76,9 @@
         self.act: Callable[[trio.SocketStream], Awaitable[None]] | None = None
         self.address = ''
 
+        # Header line that answers have in addition; '' for none.
+        self.line = ''
+
     async def serve(self, task_status: Any) -> None:
         """Listen until cancelled."""
         listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
@@ -95,7 +99,7 @@
                 if received.request_id == self.acts_on and self.act:
                     await self.act(stream)
                     return
-                await stream.send_all(make_answer(received))
+                await stream.send_all(make_answer(received, self.line))
 
     async def act_on_last(
         self, act: Callable[[trio.SocketStream], Awaitable[None]]
@@ -127,7 +131,7 @@
     return Received(fields[ID_HEADER.lower()], head.decode().lower())
 
 
-def make_answer(received: Received) -> bytes:
+def make_answer(received: Received, line: str = '') -> bytes:
     """Make the answer to a request: of a plain service or of an engine."""
     body = b'ok'
     if 'cranberryrelay-stage: prefill' in received.head:
@@ -138,6 +142,7 @@
         'HTTP/1.1 200 OK',
         f'{ID_HEADER}: {received.request_id}',
         f'Content-Length: {len(body)}',
+        *((line,) if line else ()),
     )
     return '\r\n'.join((*lines, '', '')).encode() + body
 
@@ -406,6 +411,59 @@
         self.assertEqual(runs, [1, int(case.kind is not ONCE)])
 
 
+class IdleCase(NamedTuple):
+    """A row: what an upstream says, and whether a connection is used again."""
+
+    name: str
+
+    # Header line of its answers.
+    line: str
+
+    # Time for which the connection is idle, in seconds.
+    idle_seconds: float
+    is_reused: bool
+
+
+IDLE_CASES = (
+    IdleCase('nothing said', '', 3.9, True),
+    IdleCase('nothing said, long idle', '', 4.1, False),
+    IdleCase('within the time', 'Keep-Alive: timeout=1', 0.7, True),
+    IdleCase('near its end', 'Keep-Alive: timeout=1', 0.8, False),
+    IdleCase('after its end', 'Keep-Alive: timeout=2', 2.1, False),
+    IdleCase('within a longer time', 'Keep-Alive: timeout=3', 2.7, True),
+    IdleCase('near the end of it', 'Keep-Alive: timeout=3', 2.8, False),
+    IdleCase('a long time', 'Keep-Alive: timeout=60', 3.9, True),
+    IdleCase('a long time, long idle', 'Keep-Alive: timeout=60', 4.1, False),
+    IdleCase('no time', 'Keep-Alive: timeout=0', 0, False),
+    IdleCase('second of two', 'keep-alive: max=5, Timeout=1', 0.8, False),
+    IdleCase('not a number', 'Keep-Alive: timeout=1e9', 0.7, True),
+    IdleCase('not a time', 'Keep-Alive: max=1', 3.9, True),
+    IdleCase('close', 'Connection: close', 0, False),
+)
+
+
+async def send_after(case: IdleCase, clock: MockClock) -> int:
+    """Send r0 and, later, r1; return the number of connections."""
+    async with open_site(ONCE, Role.PLAIN) as site:
+        site.upstreams[0].line = case.line
+        assert await site.send('r0') == 'ok'
+        clock.jump(case.idle_seconds)
+        assert await site.send('r1') == 'ok'
+        return len(site.upstreams[0].streams)
+
+
+class AnnouncedTimeTest(TestCase):
+    """A connection is used again only before its upstream closes it."""
+
+    # Guards against requests that are on their way while their upstream closes
+    # the connection after the time that it has announced.
+    @params(*((case,) for case in IDLE_CASES))
+    def test_announced_time_is_kept(self, case: IdleCase) -> None:
+        clock = MockClock()
+        connections = trio.run(send_after, case, clock, clock=clock)
+        self.assertEqual(connections, 1 if case.is_reused else 2)
+
+
 async def forward(
     act: Callable[[trio.SocketStream], Awaitable[None]],
 ) -> tuple[str, Site]:
--- a/cranberryrelay/timing/_timer_service.py
+++ b/cranberryrelay/timing/_timer_service.py
@@ -26,7 +26,7 @@
 
     def now(self) -> float:
         """Return the seconds of a monotonic clock."""
-        return trio.current_time()
+        return read_clock()
 
     def utc(self) -> float:
         """Return UTC in seconds; only for human readers and the account."""
@@ -62,6 +62,11 @@
             await trio.sleep(period_seconds)
 
 
+def read_clock() -> float:
+    """Return the seconds of a monotonic clock, as ``TimerService.now``."""
+    return trio.current_time()
+
+
 @asynccontextmanager
 async def open_timer_service(
     read_utc: Callable[[], float] = time.time,
--- a/cranberryrelay/wire/_kept_connections.py
+++ b/cranberryrelay/wire/_kept_connections.py
@@ -4,18 +4,27 @@
 that meets this on its way may have run for all that its sender knows.  So a
 connection is looked at once more right before the first byte of a request: if
 the server has closed it or written to it by then, the request has certainly
-not been sent and goes out on another connection.
+not been sent and goes out on another connection.  A connection is used again
+only for less than the time that the server announces in ``Keep-Alive``.
 """
 
+import re
 from collections.abc import Iterable
 from typing import Any, Final
 
 import httpcore
 import httpx
 
+from cranberryrelay.timing import read_clock
 from cranberryrelay.wire._keep_alive import KEEP_ALIVE_OPTIONS
 
+# The server's idle time begins while the end of its answer is on its way, and
+# the next request has to arrive before it ends.
+KEEP_ALIVE_MARGIN_SECONDS: Final = 0.25
 _IS_READABLE: Final = 'is_readable'
+_TIMEOUT_PARAMETER: Final = re.compile(
+    r'\s*timeout\s*=\s*(\d{1,9})\s*', re.ASCII | re.IGNORECASE
+)
 
 
 class UnsentRequestError(httpx.ConnectError):
@@ -34,11 +43,17 @@
         # Whether an answer has been read before.
         self.is_reused = False
 
+        # Time of the last read, in seconds, and how long the connection may
+        # then be idle.
+        self.last_read_at = float('inf')
+        self.idle_seconds = float('inf')
+
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read some bytes of an answer."""
         received = await self.stream.read(max_bytes, timeout)
         self.is_sending = False
         self.is_reused = True
+        self.last_read_at = read_clock()
         return received
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
@@ -53,7 +68,7 @@
         await self.stream.write(buffer, timeout)
 
     def check_idle(self) -> None:
-        """Raise if the server has closed the connection or written to it."""
+        """Raise if the connection must not be used for a request."""
         if not self.get_extra_info(_IS_READABLE):
             return
         if self.is_reused:
@@ -65,7 +80,14 @@
         await self.stream.aclose()
 
     def get_extra_info(self, info: str) -> Any:
-        """Return what is known of the connection, see ``httpcore``."""
+        """Return what is known of the connection, see ``httpcore``.
+
+        The pool closes idle connections that are readable, as the server has
+        closed them. Those that it is about to close count as readable too.
+        """
+        is_expired = read_clock() - self.last_read_at > self.idle_seconds
+        if info == _IS_READABLE and is_expired:
+            return True
         return self.stream.get_extra_info(info)
 
 
@@ -95,7 +117,33 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=limits.max_connections,
             max_keepalive_connections=limits.max_keepalive_connections,
-            keepalive_expiry=limits.keepalive_expiry,
             socket_options=KEEP_ALIVE_OPTIONS,
             network_backend=_Backend(),
         )
+        idle_seconds = limits.keepalive_expiry
+        self.idle_seconds = (
+            float('inf') if idle_seconds is None else idle_seconds
+        )
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request; limits the idle time of its connection."""
+        response = await super().handle_async_request(request)
+        stream = response.extensions.get('network_stream')
+        if isinstance(stream, KeptStream):
+            announced = find_idle_seconds(response.headers)
+            stream.idle_seconds = min(self.idle_seconds, announced)
+        return response
+
+
+def find_idle_seconds(headers: httpx.Headers) -> float:
+    """Return how long a connection may be idle by the server's headers.
+
+    Infinite if they do not say.
+    """
+    for parameter in headers.get('Keep-Alive', '').split(','):
+        found = _TIMEOUT_PARAMETER.fullmatch(parameter)
+        if found:
+            return int(found.group(1)) - KEEP_ALIVE_MARGIN_SECONDS
+    return float('inf')
