Read the entries of a store's answer one by one

Callers: one entry of another writer among the engines ended the processes, or froze the list of engines on every instance until the entry was gone: engines that left were still sent requests, new ones got none.

Cause: an answer of the store was decoded as a whole. One value that the decoder cannot read made the whole page or change FRAME_MALFORMED, so the watcher backed off and asked for the same answer again, for ever. Nesting raised a RecursionError, which is no MsgspecError: it ended the watcher's task, and the process with it.

Evidence, test_odd_store_entries on: "Ran 34 tests", "FAILED (failures=2, errors=27)". The nested rows: "RecursionError: maximum recursion depth exceeded while deserializing an object". The others: "code=<ResultCode.FRAME_MALFORMED: 5201>", with "Number out of range - at `$.items[1].spec[...]`", "Invalid UTF-8 encoded string", "JSON is malformed: unexpected end of escaped utf-16 surrogate pair (byte 275)", "Integer value out of range".

Change: an answer that cannot be decoded whole is split into its entries by a scan that neither decodes them nor takes stack for nesting, and each is decoded by itself. One that cannot be read keeps its name and position and has an UnreadableValue, which no decoder accepts and which a peer of the build before reads as an array, so as an invalid entry too. Its position counts, so an older good record does not come back; without a readable revision it is that of the answer. Entries without a name are left out with one log line an answer. A page that names no record to continue after fails instead of being read again for ever.

Why it works: the usual answer is decoded as before, and what one entry can break is only its own decoding.

After: Ran 34 tests, OK.

--- a/cranberryrelay/platform/_record_decoding.py
+++ b/cranberryrelay/platform/_record_decoding.py
@@ -18,6 +18,7 @@
     RoutingTable,
     Service,
     ServiceShare,
+    UnreadableValue,
     Upstream,
     make_routing_table,
 )
@@ -116,6 +117,8 @@
     The version becomes the revision; routes of an unknown kind are left out.
     Errors: ``NOTE_BAD_VALUE``.
     """
+    if isinstance(value, UnreadableValue):
+        return Err(fail(ResultCode.NOTE_BAD_VALUE, value.detail))
     try:
         configuration = msgspec.convert(value, _Configuration)
     except msgspec.ValidationError as error:
@@ -142,6 +145,8 @@
 
     Errors: ``UPSTREAM_ENTRY_FAULTY``.
     """
+    if isinstance(record.value, UnreadableValue):
+        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, record.value.detail))
     try:
         entry = msgspec.convert(record.value, _Entry)
     except msgspec.ValidationError as error:
--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -5,13 +5,19 @@
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import httpx
 import msgspec
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform._store_documents import (
+    StoreAnswer,
+    decode_change,
+    decode_page,
+    decode_record,
+)
 from cranberryrelay.relay import (
     KindListing,
     KindRecord,
@@ -46,47 +52,6 @@
 )
 
 
-class _Metadata(msgspec.Struct, frozen=True):
-    name: str
-    # Revision of the store at the last write of the record.
-    revision: int = 0
-    created_rev: int = 0
-    deleting: bool = False
-
-
-class _Object(msgspec.Struct, frozen=True):
-    metadata: _Metadata
-    # Value of the record; ``status`` is used if it is absent.
-    spec: Any = None
-    status: Any = None
-
-
-class _Answer(NamedTuple):
-    """A successful answer of the store."""
-
-    # Era of the store in which it was given.
-    era: int
-
-    # Body of the answer.
-    body: bytes
-
-
-class _Page(msgspec.Struct, frozen=True):
-    items: list[_Object]
-    store_revision: int
-    truncated: bool = False
-
-
-class _Event(msgspec.Struct, frozen=True):
-    object: _Object
-    removed: bool = False
-
-
-class _Events(msgspec.Struct, frozen=True):
-    events: list[_Event]
-    store_revision: int
-
-
 class TargetStore:
     """Calls the store over HTTP and counts the calls by HTTP method."""
 
@@ -108,19 +73,21 @@
         while True:
             query = {'after': after} if after else {}
             answer = await self._get(_object_path(kind), query)
-            page = answer.and_then(_decode_page)
+            page = answer.and_then(decode_page)
             if isinstance(page, Err):
                 return page
             listed = page.unwrap()
-            page_era = answer.unwrap().era
-            if era not in {None, page_era}:
-                return Err(_history_gone(kind, page_era))
-            era = page_era
-            records.extend(_to_record(item, era) for item in listed.items)
-            if not listed.truncated or not listed.items:
-                position = StorePosition(era, listed.store_revision)
-                return Ok(KindListing(tuple(records), position))
-            after = listed.items[-1].metadata.name
+            if era not in {None, listed.position.era}:
+                return Err(_history_gone(kind, listed.position.era))
+            era = listed.position.era
+            records.extend(listed.records)
+            if not listed.truncated:
+                return Ok(KindListing(tuple(records), listed.position))
+            last = listed.records[-1].name if listed.records else after
+            if last == after:
+                detail = f'no record follows {after!r} on a truncated page'
+                return Err(fail(ResultCode.FRAME_MALFORMED, detail))
+            after = last
 
     async def watch_kind(
         self, kind: str, after: StorePosition, wait_seconds: float
@@ -139,12 +106,12 @@
         )
         if answer.is_ok() and answer.unwrap().era != after.era:
             return Err(_history_gone(kind, answer.unwrap().era))
-        return answer.and_then(_to_change)
+        return answer.and_then(decode_change)
 
     async def read(self, kind: str, name: str) -> Result[KindRecord, Failure]:
         """Read one record; errors: ``STORE_NOT_FOUND``."""
         answer = await self._get(_object_path(kind, name), {})
-        return answer.and_then(_decode_record)
+        return answer.and_then(decode_record)
 
     async def create(
         self, kind: str, name: str, value: Any
@@ -199,20 +166,20 @@
             content=msgspec.json.encode(document),
             headers={'Content-Type': 'application/json'},
         )
-        return reply.and_then(_decode_record)
+        return reply.and_then(decode_record)
 
     async def _get(
         self,
         path: str,
         query: dict[str, str],
         timeout_seconds: float = CALL_SECONDS,
-    ) -> Result[_Answer, Failure]:
+    ) -> Result[StoreAnswer, Failure]:
         timeout = httpx.Timeout(timeout_seconds, connect=CONNECT_SECONDS)
         return await self._call('GET', path, params=query, timeout=timeout)
 
     async def _call(
         self, method: str, path: str, **arguments: Any
-    ) -> Result[_Answer, Failure]:
+    ) -> Result[StoreAnswer, Failure]:
         self.calls[method] = self.calls.get(method, 0) + 1
         try:
             response = await self.client.request(method, path, **arguments)
@@ -223,7 +190,7 @@
         era = _read_era(response)
         self.record_era(era)
         if response.is_success:
-            return Ok(_Answer(era, response.content))
+            return Ok(StoreAnswer(era, response.content))
         status = HTTPStatus(response.status_code)
         code = _CODES_BY_STATUS.get(status, ResultCode.STORE_OUTCOME_UNKNOWN)
         return Err(
@@ -247,45 +214,6 @@
     return fail(ResultCode.STORE_HISTORY_GONE, detail)
 
 
-def _decode_page(answer: _Answer) -> Result[_Page, Failure]:
-    return _decode(answer.body, _Page)
-
-
-def _decode_record(answer: _Answer) -> Result[KindRecord, Failure]:
-    stored = _decode(answer.body, _Object)
-    return stored.map(lambda found: _to_record(found, answer.era))
-
-
-def _to_record(stored: _Object, era: int) -> KindRecord:
-    metadata = stored.metadata
-    value = stored.status if stored.spec is None else stored.spec
-    position = StorePosition(era, metadata.revision)
-    return KindRecord(metadata.name, position, value)
-
-
-def _to_change(answer: _Answer) -> Result[RecordChange, Failure]:
-    decoded = _decode(answer.body, _Events)
-    if isinstance(decoded, Err):
-        return decoded
-    events = decoded.unwrap()
-    changed = [event.object for event in events.events if not event.removed]
-    removed = [event.object for event in events.events if event.removed]
-    return Ok(
-        RecordChange(
-            changed=tuple(_to_record(item, answer.era) for item in changed),
-            removed=tuple(item.metadata.name for item in removed),
-            position=StorePosition(answer.era, events.store_revision),
-        )
-    )
-
-
-def _decode(body: bytes, schema: Any) -> Result[Any, Failure]:
-    try:
-        return Ok(msgspec.json.decode(body, type=schema))
-    except msgspec.MsgspecError as error:
-        return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
-
-
 @asynccontextmanager
 async def open_target_store(url: str) -> AsyncIterator[TargetStore]:
     """Open an HTTP client of the store at ``url``."""
--- a/cranberryrelay/relay/__init__.py
+++ b/cranberryrelay/relay/__init__.py
@@ -39,6 +39,7 @@
 from cranberryrelay.relay._records import RecordChange as RecordChange
 from cranberryrelay.relay._records import RecordStore as RecordStore
 from cranberryrelay.relay._records import StorePosition as StorePosition
+from cranberryrelay.relay._records import UnreadableValue as UnreadableValue
 from cranberryrelay.relay._requests import Dialect as Dialect
 from cranberryrelay.relay._requests import IncomingRequest as IncomingRequest
 from cranberryrelay.relay._requests import KvSource as KvSource
--- a/cranberryrelay/relay/_records.py
+++ b/cranberryrelay/relay/_records.py
@@ -42,6 +42,16 @@
     value: Any
 
 
+class UnreadableValue(NamedTuple):
+    """Stands for a value that cannot be read; no decoder accepts it.
+
+    Sent to peers, it is an array, which is no valid value of any record.
+    """
+
+    # Why the value cannot be read.
+    detail: str
+
+
 class KindListing(NamedTuple):
     """A snapshot of all records of a kind."""
 
