Share no value of a record that a peer cannot be sent

Callers: an entry among the engines with an integer of more than 64 bits, even in a member that nobody reads, ended each process that had to send it to a peer. A value nested 300 deep was passed on to peers, whose decoder ends where less stack is left. Of an engine whose entry another program had written over, the requests counted as the cause of a crash.

Cause: a record is kept as it was decoded and sent to peers in msgpack, which holds integers of 64 bits; nothing compared the value with what can be sent. And an invalid entry was treated as the end of its engine.

Evidence, on the code before (test_odd_records, test_plain_values with the new function alone): "Ran 52 tests", "FAILED (failures=22, errors=11)": "OverflowError: can't serialize ints < -2**63 or > 2**64 - 1", "UnicodeEncodeError: 'utf-8' codec can't encode character '\ud800'", "Lists differ: ['i-1', 'i-2', 'i-odd'] != ['i-1', 'i-2']". The fuzz of documents fails with the same OverflowError.

Change: find_fault states the limits of a plain value: 32 levels, integers of 64 bits, finite numbers, text that can be encoded. They are checked where an entry or a note is decoded, from the store and from peers, with 16 kB an entry, as all entries travel in one message of at most 1 MB. Of an invalid entry only the name and position are kept and shared, with null as its value, which a peer of the build before finds invalid as well. Its upstream gets no requests; those that run go on, it is no sign of a crash, and that it was leaving is remembered. One log line an entry and for each fault of a note, and a counter.

After: Ran 53 tests (one more), OK.

--- a/cranberryrelay/platform/_record_decoding.py
+++ b/cranberryrelay/platform/_record_decoding.py
@@ -1,7 +1,7 @@
 """Decodes store records: the operator's configuration and the upstreams."""
 
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 from result import Err, Ok, Result
@@ -22,6 +22,7 @@
     Upstream,
     make_routing_table,
 )
+from cranberryrelay.wire import INTEGER_MAX, find_fault
 
 CONFIGURATION_KIND: Final = 'config'
 CONFIGURATION_NAME: Final = 'main'
@@ -37,6 +38,9 @@
 _ROLES_BY_STAGE: Final = MappingProxyType(
     {'prefill': Role.PREFILL, 'decode': Role.DECODE}
 )
+# Entries of all upstreams are sent to peers in one message.
+_ENTRY_BYTES_LIMIT: Final = 16_384
+_Count = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 _KNOWN_STATES: Final = ('ready', 'draining')
 
 
@@ -87,7 +91,7 @@
 
 class _Configuration(msgspec.Struct, frozen=True):
     # Revision of the release note.
-    version: int
+    version: _Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
@@ -98,17 +102,17 @@
     address: str
     # Failure domain.
     zone: str
-    slots: int
+    slots: _Count
     # 'ready' or 'draining'.
     state: str
     # Role of an engine; '' for a plain service.
     stage: str = ''
     # Start time in Unix milliseconds; 0 if unknown.
-    born: int = 0
+    born: _Count = 0
     # Version of the engine's software.
     version: str | int | float = ''
     # Number of the report, rising since the start.
-    sequence: int = 0
+    sequence: _Count = 0
 
 
 def decode_configuration(value: Any) -> Result[RoutingTable, Failure]:
@@ -117,8 +121,9 @@
     The version becomes the revision; routes of an unknown kind are left out.
     Errors: ``NOTE_BAD_VALUE``.
     """
-    if isinstance(value, UnreadableValue):
-        return Err(fail(ResultCode.NOTE_BAD_VALUE, value.detail))
+    fault = find_value_fault(value)
+    if fault:
+        return Err(fail(ResultCode.NOTE_BAD_VALUE, fault))
     try:
         configuration = msgspec.convert(value, _Configuration)
     except msgspec.ValidationError as error:
@@ -145,8 +150,9 @@
 
     Errors: ``UPSTREAM_ENTRY_FAULTY``.
     """
-    if isinstance(record.value, UnreadableValue):
-        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, record.value.detail))
+    fault = find_value_fault(record.value, _ENTRY_BYTES_LIMIT)
+    if fault:
+        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, fault))
     try:
         entry = msgspec.convert(record.value, _Entry)
     except msgspec.ValidationError as error:
@@ -174,6 +180,20 @@
     )
 
 
+def find_value_fault(value: Any, limit: int | None = None) -> str:
+    """Return why a record's value must not be used; '' if it may be.
+
+    ``limit`` is the number of bytes that it may take in a message to a peer.
+    """
+    if isinstance(value, UnreadableValue):
+        return value.detail
+    fault = find_fault(value)
+    if fault or limit is None:
+        return fault
+    size = len(msgspec.msgpack.encode(value))
+    return '' if size <= limit else f'the value has {size} bytes'
+
+
 def _to_route(route: _Route) -> Route:
     shares = tuple(
         ServiceShare(share.service, share.weight)
--- a/cranberryrelay/platform/_store_documents.py
+++ b/cranberryrelay/platform/_store_documents.py
@@ -25,11 +25,10 @@
     StorePosition,
     UnreadableValue,
 )
+from cranberryrelay.wire import INTEGER_MAX
 
-# Largest revision that all messages between instances can carry.
-_LARGEST_REVISION: Final = 9_223_372_036_854_775_807
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
-_Revision = Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_REVISION)]
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 
 
 class _Metadata(msgspec.Struct, frozen=True):
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -226,12 +226,14 @@
             },
         )
 
-    def remove_upstream(self, name: str, source: str) -> None:
-        """Remove an upstream that has left."""
+    def remove_upstream(
+        self, name: str, source: str, ended: bool = True
+    ) -> None:
+        """Remove an upstream; ``ended`` tells whether its process has left."""
         known = self.fleet.upstreams.get(name)
         if known is None:
             return
-        if not known.leaving:
+        if ended and not known.leaving:
             self.record_gone(known)
         self.fleet.remove(name)
         self.rate_limits.remove(name)
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -90,6 +90,10 @@
         self.upstream_position = STORE_ORIGIN
         self.invalid_names: set[str] = set()
 
+        # Upstreams as last known whose records are invalid now.
+        self.withdrawn: dict[str, Upstream] = {}
+        self.logged_note_fault = ''
+
     def apply_note_listing(self, listing: KindListing) -> None:
         """Apply a listing of the configuration."""
         for record in listing.records:
@@ -106,13 +110,7 @@
             return
         table = self.decoders.decode_table(record.value)
         if isinstance(table, Err):
-            _LOG.error(
-                'invalid release note',
-                extra={
-                    'detail': table.unwrap_err().detail,
-                    'source': source,
-                },
-            )
+            self.log_invalid_note(table.unwrap_err().detail, source)
             return
         if self.state.apply_table(table.unwrap(), source):
             self.note_value = record.value
@@ -145,15 +143,31 @@
         if known_position >= record.position:
             self.log_older_record(record, known_position, source)
             return
-        self.upstream_records[record.name] = record
         upstream = self.decoders.decode_upstream(record)
         if isinstance(upstream, Err):
-            self.log_invalid_record(record.name, upstream.unwrap_err())
-            self.state.remove_upstream(record.name, source)
+            self.withdraw_upstream(record, upstream.unwrap_err(), source)
             return
+        self.upstream_records[record.name] = record
         self.invalid_names.discard(record.name)
         self.apply_upstream(upstream.unwrap(), record.position, source)
 
+    def withdraw_upstream(
+        self, record: KindRecord, failure: Failure, source: str
+    ) -> None:
+        """Use an upstream no more whose record has become invalid.
+
+        Only the position of the record is kept, so that no older record comes
+        back and peers are not sent a value that they cannot decode. That says
+        nothing of the upstream's process: the requests that it runs go on.
+        """
+        name = record.name
+        self.upstream_records[name] = record._replace(value=None)
+        self.log_invalid_record(name, failure)
+        known = self.state.fleet.upstreams.get(name)
+        if known is not None:
+            self.withdrawn[name] = known
+            self.state.remove_upstream(name, source, ended=False)
+
     def apply_upstream(
         self, upstream: Upstream, position: StorePosition, source: str
     ) -> None:
@@ -173,7 +187,9 @@
                 },
             )
             return
-        known = self.state.fleet.upstreams.get(upstream.name)
+        known = self.state.fleet.upstreams.get(
+            upstream.name
+        ) or self.withdrawn.pop(upstream.name, None)
         if known is None and departed:
             known = departed.upstream
         if (
@@ -196,7 +212,9 @@
             return
         self.upstream_records.pop(name, None)
         self.record_removal(Removal(name, position))
-        upstream = self.state.fleet.upstreams.get(name)
+        self.invalid_names.discard(name)
+        withdrawn = self.withdrawn.pop(name, None)
+        upstream = self.state.fleet.upstreams.get(name) or withdrawn
         if upstream is not None:
             self.departed[name] = Departed(upstream, position)
         self.state.remove_upstream(name, source)
@@ -237,7 +255,8 @@
             )
 
     def log_invalid_record(self, name: str, failure: Failure) -> None:
-        """Log an invalid record once per upstream."""
+        """Count an invalid record; log it once per upstream."""
+        self.state.telemetry.count_invalid_record('upstream')
         if name in self.invalid_names:
             return
         self.invalid_names.add(name)
@@ -246,6 +265,14 @@
             extra={'upstream': name, 'detail': failure.detail},
         )
 
+    def log_invalid_note(self, detail: str, source: str) -> None:
+        """Count an invalid note; log it if its fault differs from the last."""
+        self.state.telemetry.count_invalid_record('note')
+        if detail != self.logged_note_fault:
+            self.logged_note_fault = detail
+            extra = {'detail': detail, 'source': source}
+            _LOG.error('invalid release note', extra=extra)
+
     def make_note_share(self) -> NoteShare | None:
         """Return the release note in force for a peer; None without one."""
         if self.note_value is None:
--- a/cranberryrelay/relay/_telemetry.py
+++ b/cranberryrelay/relay/_telemetry.py
@@ -25,6 +25,11 @@
             'Failures of upstreams by result code',
             registry=self.registry,
         )
+        self.invalid_records = Counter(
+            'cranberryrelay_relay_invalid_records',
+            'Records from the store or a peer that could not be used, by kind',
+            registry=self.registry,
+        )
         self.first_event = Histogram(
             'cranberryrelay_relay_first_event_seconds',
             'Time to the first event by rank',
@@ -46,6 +51,10 @@
         """Count a failure of an upstream by result code."""
         self.failures.inc({'code': str(code.value)})
 
+    def count_invalid_record(self, kind: str) -> None:
+        """Count a record that could not be used: 'upstream' or 'note'."""
+        self.invalid_records.inc({'kind': kind})
+
     def observe_first_event(self, rank: Rank, seconds: float) -> None:
         """Observe the time to the first event of a request, in seconds."""
         self.first_event.observe({'rank': rank.name.lower()}, seconds)
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -22,6 +22,8 @@
 )
 from cranberryrelay.wire._network import PeerNetwork as PeerNetwork
 from cranberryrelay.wire._network import open_peer_network as open_peer_network
+from cranberryrelay.wire._plain_values import INTEGER_MAX as INTEGER_MAX
+from cranberryrelay.wire._plain_values import find_fault as find_fault
 from cranberryrelay.wire._sockets import FRAME_BYTES_LIMIT as FRAME_BYTES_LIMIT
 from cranberryrelay.wire._sockets import HIGH_WATER_MARK as HIGH_WATER_MARK
 from cranberryrelay.wire._sockets import CurveKeys as CurveKeys
