Accept only addresses and names of upstreams that a call can use

Callers: an entry with the port 99999 ended each process as soon as it checked its links; one with a port of 5,000 digits or "²" was chosen for requests, each of which ended by an exception instead of an answer.

Cause: an entry's port was tested with isdigit, which takes any number and the digits of other scripts. Opening a connection raises OverflowError or ValueError, making a URL httpx.InvalidURL; none is an error that the callers of these expect. Names were not looked at, though each request carries one in a header.

Change: is_address takes an IP literal and a port from 1 to 65535 in ASCII digits, nothing else; host names are none, as whoever states one would make the process resolve it. Names must fit a header, in 256 characters. Other entries are invalid and cost only themselves.

--- a/cranberryrelay/platform/_record_decoding.py
+++ b/cranberryrelay/platform/_record_decoding.py
@@ -22,7 +22,7 @@
     Upstream,
     make_routing_table,
 )
-from cranberryrelay.wire import INTEGER_MAX, find_fault
+from cranberryrelay.wire import INTEGER_MAX, find_fault, is_address
 
 CONFIGURATION_KIND: Final = 'config'
 CONFIGURATION_NAME: Final = 'main'
@@ -40,6 +40,7 @@
 )
 # Entries of all upstreams are sent to peers in one message.
 _ENTRY_BYTES_LIMIT: Final = 16_384
+_NAME_LIMIT: Final = 256
 _Count = Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 _KNOWN_STATES: Final = ('ready', 'draining')
 
@@ -157,13 +158,9 @@
         entry = msgspec.convert(record.value, _Entry)
     except msgspec.ValidationError as error:
         return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, str(error)))
-    host, _, port = entry.address.rpartition(':')
-    if entry.state not in _KNOWN_STATES or not (host and port.isdigit()):
-        detail = f'invalid state {entry.state!r} or address {entry.address!r}'
-        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, detail))
-    if entry.stage and entry.stage not in _ROLES_BY_STAGE:
-        detail = f'unknown stage {entry.stage!r}'
-        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, detail))
+    fault = _find_entry_fault(record.name, entry)
+    if fault:
+        return Err(fail(ResultCode.UPSTREAM_ENTRY_FAULTY, fault))
     return Ok(
         Upstream(
             name=record.name,
@@ -180,6 +177,22 @@
     )
 
 
+def _find_entry_fault(name: str, entry: _Entry) -> str:
+    """Return why an entry names no upstream to use; '' if it does."""
+    # The name is sent in a header of each request.
+    if not name.isprintable() or len(name.strip()) != len(name):
+        return 'the name does not fit a header'
+    if not 0 < len(name) <= _NAME_LIMIT:
+        return f'the name has {len(name)} characters'
+    if entry.state not in _KNOWN_STATES:
+        return f'invalid state {entry.state!r}'
+    if not is_address(entry.address):
+        return f'invalid address {entry.address!r}'
+    if entry.stage and entry.stage not in _ROLES_BY_STAGE:
+        return f'unknown stage {entry.stage!r}'
+    return ''
+
+
 def find_value_fault(value: Any, limit: int | None = None) -> str:
     """Return why a record's value must not be used; '' if it may be.
 
--- a/cranberryrelay/relay/tests/test_odd_records.py
+++ b/cranberryrelay/relay/tests/test_odd_records.py
@@ -42,6 +42,7 @@
     'state': 'ready',
     'born': 17,
 }
+LONG_PORT = '10.0.0.9:{}'.format('8' * 5000)
 ODD_NAME = 'i-odd'
 GOOD_NAMES = ['i-1', 'i-2']
 
@@ -85,6 +86,15 @@
     OddCase('half a surrogate pair', {**GOOD, 'x': '\ud800'}),
     OddCase('too large', {**GOOD, 'x': 'y' * 20_000}),
     OddCase('negative slots', {**GOOD, 'slots': -1}),
+    OddCase('port out of range', {**GOOD, 'address': '10.0.0.9:99999'}),
+    OddCase('port 0', {**GOOD, 'address': '10.0.0.9:0'}),
+    OddCase('port of many digits', {**GOOD, 'address': LONG_PORT}),
+    OddCase('port of another script', {**GOOD, 'address': '10.0.0.9:\xb2'}),
+    OddCase('host name', {**GOOD, 'address': 'engine:80'}),
+    OddCase('host in a path', {**GOOD, 'address': '10.0.0.9/x:80'}),
+    OddCase('host with credentials', {**GOOD, 'address': 'a@10.0.0.9:80'}),
+    OddCase('IPv4 out of range', {**GOOD, 'address': '10.0.0.256:80'}),
+    OddCase('IPv6 without brackets', {**GOOD, 'address': 'fe80::1:80'}),
     OddCase('negative report number', {**GOOD, 'sequence': -1}),
 )
 
@@ -180,6 +190,22 @@
             replica.apply_upstream_changes(change)
         self.assertTrue(replica.state.fleet.upstreams['i-1'].leaving)
 
+    # Guards against names that end the call of a request, as no header can
+    # hold them.
+    @params('', ' i', 'i\r\nX-Other: 1', 'i\0', 'i\u2028', 'i' * 300)
+    def test_name_that_no_header_holds(self, name: str) -> None:
+        replica = make_replica()
+        replica.apply_upstream_listing(
+            KindListing((make_record(name, 4), make_record('i-1', 5)), at(5))
+        )
+        self.assertEqual(list(replica.state.fleet.upstreams), ['i-1'])
+
+    # Guards against an engine that is not used for its usual address.
+    @params('10.0.0.9:1', '10.0.0.9:65535', '127.0.0.1:80', '[fe80::1]:80')
+    def test_usual_address(self, address: str) -> None:
+        record = make_record('i-1', 4, address=address)
+        self.assertEqual(decode_upstream(record).unwrap().address, address)
+
     # Guards against a log that is filled by one odd note.
     def test_invalid_note_is_logged_once(self) -> None:
         replica = make_replica()
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -1,5 +1,6 @@
 """Authenticated sockets between processes and the codec of their messages."""
 
+from cranberryrelay.wire._addresses import is_address as is_address
 from cranberryrelay.wire._authentication import ZAP_ADDRESS as ZAP_ADDRESS
 from cranberryrelay.wire._authentication import Authenticator as Authenticator
 from cranberryrelay.wire._authentication import (
