Ask the others which version began an unknown stream

Cause: StreamVersions.find_version let an unknown stream go on anywhere while the instance was informed and knew one version. "Informed" is set once after the start and speaks of the start only. An instance that was cut off or frozen knows one version, has missed announcements, each of which is sent once, and takes not knowing for proof.

Change: an unknown stream that a caller takes up is asked for. The question names when it was sent, and only answers that name it count, so no message that waited in the socket of a frozen instance proves anything. Each peer is asked in a full mesh, one instance of each failure domain with hubs. An answer holds the stream if the peer knows it, the versions that it saw in the last minute with their ages, and whether it is informed. If not all answer within 0.25 s, an instance that watches the store asks it for changes without waiting; one call serves all that wait, four a second at most. Only all answers, or the store's, let a stream go on anywhere; otherwise it is refused as not run (3113). Versions of engines are recorded when they become known, not only once a second, so one that came and left in between counts.

Why it works: an instance that began a stream at another version knows that version for a minute and says so; one that does not answer can only have learned it from the store, which then tells it to us too. Ages are counted from the question, so versions that instances tell each other of are forgotten a minute after an engine was last seen (test_version_that_left_is_forgotten).

Cost: nothing is sent while no unknown stream is taken up.

Builds side by side: the question and the answer are new kinds; a build that does not know them passes over them and counts as not answering.

--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -81,6 +81,10 @@
         # Number of live instances of the fleet, as last reported by the hub.
         self.reported_fleet_size = 0
 
+        # Failure domains of the peers that were removed for not answering, by
+        # name; kept until the store has been reached since.
+        self.lost: dict[str, str] = {}
+
         # Set once this instance is about to stop and no longer acts as hub.
         self.leaving = False
 
@@ -99,6 +103,7 @@
         if known is not None and known.location == location:
             return False
         self.peers[name] = Peer(location, now)
+        self.lost.pop(name, None)
         return True
 
     def record_message(self, name: str, now: float) -> bool:
@@ -158,6 +163,7 @@
             and now - peer.unanswered_since > REMOVE_AFTER_SECONDS
         ]
         for name in unresponsive:
+            self.lost[name] = self.peers[name].location.domain
             self.remove(name)
         return unresponsive
 
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -132,14 +132,21 @@
 
     async def open_caller_stream(self) -> Result[UpstreamResponse, Failure]:
         """Begin a stream, or go on with one at the version that began it."""
-        if self.admitted.request.last_event_number is None:
+        request = self.admitted.request
+        if request.last_event_number is None:
             return await self.open_stream()
         state = self.context.state
+        stream_id = request.stream_id()
+        complete = state.stream_versions.knows(
+            stream_id
+        ) or await state.stream_lookup.look_up(
+            stream_id, self.admitted.service, self.remaining_seconds()
+        )
         engines = state.fleet.eligible(
             self.admitted.service, Role.DECODE, self.context.timers.now()
         )
         found = state.stream_versions.find_version(
-            self.admitted.request, self.admitted.service, engines
+            request, self.admitted.service, engines, complete=complete
         )
         if isinstance(found, Err):
             return found
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -12,6 +12,7 @@
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._records import StorePosition
 from cranberryrelay.relay._start_check import StartNotice
+from cranberryrelay.relay._stream_inquiry import StreamAnswer, StreamQuestion
 from cranberryrelay.relay._stream_versions import StreamSummary
 
 
@@ -137,4 +138,6 @@
     StreamSummary,
     DepartureNews,
     StartNotice,
+    StreamQuestion,
+    StreamAnswer,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -34,6 +34,11 @@
 from cranberryrelay.relay._start_check import NO_REVISION, StartNotice
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._stream_inquiry import (
+    StreamAnswer,
+    StreamInquiry,
+    StreamQuestion,
+)
 from cranberryrelay.relay._stream_versions import StreamSummary
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
@@ -94,6 +99,8 @@
         )
         self.news_exchange = NewsExchange(self)
         self.forward_reports = ForwardReports(state, self.membership)
+        self.stream_inquiry = StreamInquiry(state.stream_versions, self)
+        state.stream_lookup = self.stream_inquiry
 
     def send_hello(self, name: str, address: str, answer: bool = True) -> None:
         """Introduce this instance at an address, unless it is leaving."""
@@ -517,6 +524,16 @@
     versions.informed = True
 
 
+@dispatch_message.register
+def _(message: StreamQuestion, protocol: PeerProtocol, sender: str) -> None:
+    protocol.stream_inquiry.handle_question(sender, message)
+
+
+@dispatch_message.register
+def _(message: StreamAnswer, protocol: PeerProtocol, sender: str) -> None:
+    protocol.stream_inquiry.handle_answer(sender, message)
+
+
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
     protocol.membership.remove(sender)
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -20,7 +20,6 @@
     make_front_app,
     make_readiness_app,
 )
-from cranberryrelay.relay._note_archive import NoteArchive
 from cranberryrelay.relay._order_lease import OrderLease
 from cranberryrelay.relay._orders import EngineControl
 from cranberryrelay.relay._peer_messages import PEER_MESSAGE_TYPES
@@ -32,7 +31,7 @@
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import Decoders, StoreReplica
-from cranberryrelay.relay._stream_records import StreamRecorder
+from cranberryrelay.relay._store_tasks import start_store_tasks
 from cranberryrelay.relay._upstream_call import make_upstream_client
 from cranberryrelay.relay._upstream_reach import LOOK_SECONDS, ReachMonitor
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
@@ -117,11 +116,8 @@
             nursery.start_soon(account.keep_written)
             nursery.start_soon(_apply_settings, dependencies, state)
             nursery.start_soon(_make_role_controller(dependencies, duties).run)
-            nursery.start_soon(
-                NoteArchive(dependencies.store, duties, timers).run
-            )
-            nursery.start_soon(
-                StreamRecorder(dependencies.store, duties, timers).run
+            start_store_tasks(
+                nursery, dependencies.store, dependencies.upstream_kind, duties
             )
             nursery.start_soon(keep_registered, dependencies.store, peers)
             await _serve_callers(tools, peers, stop)
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -31,6 +31,7 @@
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._start_check import StartCheck
+from cranberryrelay.relay._stream_inquiry import LoneInstance, StreamLookup
 from cranberryrelay.relay._stream_versions import StreamVersions
 from cranberryrelay.relay._telemetry import RelayTelemetry
 from cranberryrelay.relay._upstream_reach import UpstreamReach
@@ -94,6 +95,7 @@
         self.crash_suspects = CrashSuspects()
         self.rate_limits = RateLimits(settings.name)
         self.stream_versions = StreamVersions()
+        self.stream_lookup: StreamLookup = LoneInstance()
         self.start_check = StartCheck()
         self.reach = UpstreamReach()
         self.forward_targets = ForwardTargets(random.Random())
@@ -213,6 +215,7 @@
             self.rate_limits.remove(upstream.name)
             self.record_gone(known)
         upstream = self.fleet.put(upstream)
+        self.stream_versions.record_listed(upstream)
         _LOG.info(
             'upstream changed',
             extra={
--- a/cranberryrelay/relay/_stream_records.py
+++ b/cranberryrelay/relay/_stream_records.py
@@ -74,7 +74,7 @@
             await self.timers.pause(LOAD_RETRY_SECONDS)
         async for _ in self.timers.subscribe(WRITE_SECONDS):
             if self.duties.standby_index() == 0:
-                for service in list(self.versions.last_seen):
+                for service in self.versions.known_versions():
                     await self.write(service)
 
     async def load(self) -> bool:
@@ -161,7 +161,7 @@
             if stream.service == service:
                 streams.setdefault(stream.version, []).append(digest)
     return StreamRecordFields(
-        versions=sorted(versions.last_seen.get(service, {})),
+        versions=sorted(versions.versions_of(service)),
         streams={
             version: _pack(digests[-RECORDED_LIMIT:])
             for version, digests in streams.items()
--- a/cranberryrelay/relay/_stream_versions.py
+++ b/cranberryrelay/relay/_stream_versions.py
@@ -81,6 +81,9 @@
         # started.
         self.informed = True
         self.last_seen: dict[str, dict[str, float]] = {}
+
+        # Versions of engines that became known since ``observe``, by service.
+        self.listed: dict[str, set[str]] = {}
         self.observed_at = float('-inf')
         self.allowance = float(0)
         self.allowance_at = float('-inf')
@@ -92,10 +95,51 @@
     def known_versions(self) -> dict[str, list[str]]:
         """Return the versions that served recently, by service."""
         return {
-            service: sorted(versions)
-            for service, versions in self.last_seen.items()
+            service: sorted(self.versions_of(service))
+            for service in self.last_seen.keys() | self.listed.keys()
+        }
+
+    def versions_of(self, service: str) -> set[str]:
+        """Return the versions of a service that served recently."""
+        return {
+            *self.last_seen.get(service, ()),
+            *self.listed.get(service, ()),
+        }
+
+    def record_listed(self, upstream: Upstream) -> None:
+        """Record the version of an engine that has just become known.
+
+        It may have left again when versions are next observed.
+        """
+        listed = self.listed.setdefault(upstream.service, set())
+        listed.add(upstream.software_version)
+
+    def version_ages(self, now: float) -> dict[str, dict[str, float]]:
+        """Return the seconds since each version was seen, by service."""
+        return {
+            service: {
+                version: max(now - self.seen_at(service, version, now), 0)
+                for version in versions
+            }
+            for service, versions in self.known_versions().items()
         }
 
+    def seen_at(self, service: str, version: str, now: float) -> float:
+        """Return when a known version was last seen, on the local clock."""
+        if version in self.listed.get(service, ()):
+            return now
+        return self.last_seen[service][version]
+
+    def apply_ages(
+        self, ages: dict[str, dict[str, float]], as_of: float
+    ) -> None:
+        """Record the versions that a peer saw so many seconds ago."""
+        for service, versions in ages.items():
+            seen = self.last_seen.setdefault(service, {})
+            for version, age in versions.items():
+                known_at = seen.get(version, float('-inf'))
+                seen[version] = max(known_at, as_of - age)
+
     def apply_summary(self, summary: StreamSummary, now: float) -> None:
         """Record what an earlier instance or a peer knew."""
         for service, versions in summary.versions.items():
@@ -116,6 +160,10 @@
         )
         self.unannounced.append(digest)
 
+    def knows(self, stream_id: str) -> bool:
+        """Return whether the version that began a stream is known."""
+        return digest_text(stream_id) in self.streams
+
     def apply_announced(
         self, announced: Iterable[AnnouncedStreams], now: float
     ) -> None:
@@ -126,13 +174,21 @@
                 self.streams.setdefault(digest, stream)
 
     def observe(self, upstreams: Iterable[Upstream], now: float) -> None:
-        """Record the versions in service; drop what is no longer needed."""
+        """Record the versions in service from time to time."""
         if now - self.observed_at < OBSERVE_SECONDS:
             return
         self.observed_at = now
+        for service, listed in self.listed.items():
+            seen = self.last_seen.setdefault(service, {})
+            seen.update(dict.fromkeys(listed, now))
+        self.listed.clear()
         for upstream in upstreams:
             seen = self.last_seen.setdefault(upstream.service, {})
             seen[upstream.software_version] = now
+        self.drop_expired(now)
+
+    def drop_expired(self, now: float) -> None:
+        """Drop streams and versions that no caller comes back for."""
         oldest = now - RETAINED_SECONDS
         for versions in self.last_seen.values():
             for version, seen_at in list(versions.items()):
@@ -151,11 +207,14 @@
         request: IncomingRequest,
         service: str,
         upstreams: Iterable[Upstream],
+        *,
+        complete: bool,
     ) -> Result[str | None, Failure]:
         """Return the version at which a request must run; None for any.
 
         ``upstreams`` are those that serve now, as the versions in service are
-        recorded only from time to time.
+        recorded only from time to time. ``complete`` tells whether every
+        version that can have begun the stream is known.
 
         Errors: ``STREAM_VERSION_UNKNOWN`` for a stream that this instance does
         not know while several versions serve, or may have served lately.
@@ -166,14 +225,15 @@
         if known is not None:
             return Ok(known.version)
         versions = {
-            *self.last_seen.get(service, {}),
+            *self.versions_of(service),
             *(one.software_version for one in upstreams),
         }
-        if self.informed and len(versions) <= 1:
+        complete = complete and self.informed
+        if complete and len(versions) <= 1:
             return Ok(None)
         detail = (
             f'stream {request.stream_id()} is unknown; engines of the versions '
-            f'{sorted(versions)} served, all known: {self.informed}'
+            f'{sorted(versions)} served, all known: {complete}'
         )
         return Err(fail(ResultCode.STREAM_VERSION_UNKNOWN, detail))
 
@@ -189,10 +249,11 @@
         earned = rate * min(now - self.allowance_at, OBSERVE_SECONDS)
         self.allowance = min(self.allowance + earned, max(rate, 1))
         self.allowance_at = now
+        mixed = self.mixed_services()
         due = [
             digest
             for digest in self.unannounced
-            if self.is_mixed(self.streams[digest].service)
+            if self.streams[digest].service in mixed
         ]
         taken = due[max(len(due) - int(self.allowance), 0) :]
         self.allowance -= len(taken)
@@ -204,17 +265,22 @@
 
     def summarize(self) -> StreamSummary:
         """Return all versions, and the newest streams where they differ."""
-        mixed = [
+        mixed = self.mixed_services()
+        digests = [
             digest
             for digest, stream in self.streams.items()
-            if self.is_mixed(stream.service)
+            if stream.service in mixed
         ]
-        streams = self.group(mixed[-SUMMARY_LIMIT:])
+        streams = self.group(digests[-SUMMARY_LIMIT:])
         return StreamSummary(streams, self.known_versions())
 
+    def mixed_services(self) -> set[str]:
+        """Return the services of which several versions served recently."""
+        return {one for one in self.known_versions() if self.is_mixed(one)}
+
     def is_mixed(self, service: str) -> bool:
         """Return whether engines of several versions served recently."""
-        return len(self.last_seen.get(service, {})) > 1
+        return len(self.versions_of(service)) > 1
 
     def group(self, digests: Iterable[int]) -> list[AnnouncedStreams]:
         """Group streams by service and version."""
--- a/cranberryrelay/relay/tests/landed_forms.py
+++ b/cranberryrelay/relay/tests/landed_forms.py
@@ -76,7 +76,17 @@
 
 # Fields of messages of later kinds, which earlier builds do not have.
 LATER_MESSAGES: Mapping[str, tuple[Any, ...]] = MappingProxyType(
-    {'DepartureNews': (['i-1/17'],), 'StartNotice': (18,)}
+    {
+        'DepartureNews': (['i-1/17'],),
+        'StartNotice': (18,),
+        'StreamQuestion': (81.25, '10.1.0.38:7380', 2**63 + 5),
+        'StreamAnswer': (
+            81.25,
+            [AnnouncedStreams('s', 'v2', [2**63 + 5])],
+            {'s': {'v1': 17.5, 'v2': 0}},
+            True,
+        ),
+    }
 )
 
 
--- a/cranberryrelay/relay/tests/test_software_versions.py
+++ b/cranberryrelay/relay/tests/test_software_versions.py
@@ -267,7 +267,7 @@
         versions.observe([make_engine('d1', 'old')], 0)
         arrival = make_arrival('r1', WORK)._replace(last_event_number=2)
         serving = [make_engine('d2', 'other')]
-        found = versions.find_version(arrival, 's', serving)
+        found = versions.find_version(arrival, 's', serving, complete=True)
         self.assertEqual(
             found.unwrap_err().code, ResultCode.STREAM_VERSION_UNKNOWN
         )
