Announce the streams that an instance begins after its farewell

Callers saw: while two software versions serve, a stream that an instance began between SIGTERM and the end of its grace broke off with that grace, and could go on nowhere (3113 from every other instance).

Cause: run_heartbeats ends at the farewell, and with it the announcements; an instance that drains still takes requests for 2.5 s. Its peers have removed it, so they would not take a heartbeat of it either, and don't ask it.

Evidence: PlannedStopTest, a stream begun 2 s after the farewell, both versions known to all, in a full mesh, at a member and at a hub; before, 3 of 3 fail: AssertionError: <ResultCode.STREAM_VERSION_UNKNOWN: 3113> is not None

Change: an instance that leaves goes on to announce, each heartbeat, in a message that is taken from an instance that is no longer a member. With hubs it goes to those of its failure domain, and the hub passes it on in its next heartbeat. The rate is that of the announcements as before.

Why it works: what is announced no longer depends on the membership, and a caller comes back only once the connection has ended, a heartbeat or more later.

After: 3 of 3 pass; the stream goes on at its version.

--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -10,8 +10,10 @@
 from cranberryrelay.relay._departures import DepartureNews
 from cranberryrelay.relay._group_hub import GroupHub
 from cranberryrelay.relay._membership import Membership
+from cranberryrelay.relay._peer_update import make_peer_update
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
+from cranberryrelay.relay._stream_versions import LeavingStreams
 from cranberryrelay.timing import TimerService
 
 News = SuspectNews | LimitNews | DepartureNews
@@ -63,6 +65,24 @@
             versions.take_announcements(state.live_instances, now)
         )
 
+    def announce_while_leaving(self) -> None:
+        """Tell the others of streams that this instance still begins."""
+        self.queue_begun_streams()
+        streams = self.peers.state.peer_update.begun_streams
+        if streams:
+            message = LeavingStreams(list(streams))
+            streams.clear()
+            for name in self.peers.direct_recipients():
+                self.peers.send(name, message)
+
+    def handle_leaving_streams(self, message: LeavingStreams) -> None:
+        """Record streams of an instance that stops; forward them as hub."""
+        now = self.peers.timers.now()
+        self.peers.state.stream_versions.apply_announced(message.streams, now)
+        if self.peers.membership.uses_hubs:
+            update = make_peer_update()._replace(begun_streams=message.streams)
+            self.peers.group_hub.queue_update(update)
+
     def send_upstream_news(self, name: str) -> None:
         """Tell an instance all that upstreams were found or said to do."""
         state = self.peers.state
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -13,7 +13,10 @@
 from cranberryrelay.relay._records import StorePosition
 from cranberryrelay.relay._start_check import StartNotice
 from cranberryrelay.relay._stream_inquiry import StreamAnswer, StreamQuestion
-from cranberryrelay.relay._stream_versions import StreamSummary
+from cranberryrelay.relay._stream_versions import (
+    LeavingStreams,
+    StreamSummary,
+)
 
 
 class Hello(NamedTuple):
@@ -140,4 +143,5 @@
     StartNotice,
     StreamQuestion,
     StreamAnswer,
+    LeavingStreams,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -39,7 +39,10 @@
     StreamInquiry,
     StreamQuestion,
 )
-from cranberryrelay.relay._stream_versions import StreamSummary
+from cranberryrelay.relay._stream_versions import (
+    LeavingStreams,
+    StreamSummary,
+)
 from cranberryrelay.timing import TimerService
 from cranberryrelay.wire import PeerNetwork
 
@@ -211,7 +214,10 @@
             self.send_hello(sender, address, answer=False)
 
     async def run_heartbeats(self) -> None:
-        """Send heartbeats until this instance is about to stop."""
+        """Send heartbeats until this instance is about to stop.
+
+        From then on only the streams that it begins are announced.
+        """
         async for now in self.timers.subscribe(HEARTBEAT_SECONDS):
             for name in self.membership.remove_unresponsive(now):
                 forget_peer(self, name)
@@ -220,7 +226,8 @@
             self.state.crash_suspects.drop_unconfirmed(now)
             self.update_live_instances()
             if self.membership.leaving:
-                return
+                self.news_exchange.announce_while_leaving()
+                continue
             check_start(self, now)
             self.news_exchange.send_news()
             self.news_exchange.queue_begun_streams()
@@ -534,6 +541,11 @@
     protocol.stream_inquiry.handle_answer(sender, message)
 
 
+@dispatch_message.register
+def _(message: LeavingStreams, protocol: PeerProtocol, sender: str) -> None:
+    protocol.news_exchange.handle_leaving_streams(message)
+
+
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
     protocol.membership.remove(sender)
--- a/cranberryrelay/relay/_stream_versions.py
+++ b/cranberryrelay/relay/_stream_versions.py
@@ -47,6 +47,16 @@
     digests: list[int]
 
 
+class LeavingStreams(NamedTuple):
+    """Streams that the sender began and has not announced at its farewell.
+
+    Peers no longer take heartbeats of it.
+    """
+
+    # The streams.
+    streams: list[AnnouncedStreams]
+
+
 class StreamSummary(NamedTuple):
     """What an instance that has just started is told about streams."""
 
--- a/cranberryrelay/relay/tests/test_out_of_step.py
+++ b/cranberryrelay/relay/tests/test_out_of_step.py
@@ -648,6 +648,41 @@
         self.assertEqual(outcome.last_event, 0 if case.code else len(EVENTS))
 
 
+async def leave_then_begin(names: tuple[str, ...], taker: str) -> Outcome:
+    """Begin a stream at an instance that stops; take it up at another."""
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        network = LossyNetwork()
+        fleet = Fleet(network, nursery)
+        store = StubStore(StoreMode.REFUSES)
+        play = Play(network, fleet, timers, taker, set(), store)
+        await start_instances(play, sorted(names))
+        play.join_other_version()
+        await trio.sleep(APART_SECONDS)
+        fleet.protocols[BEGINNER].send_farewell()
+        await trio.sleep(APART_SECONDS)
+        play.begin_streams(BEGINNER, 1)
+        await trio.sleep(1)
+        fleet.kill(BEGINNER)
+        outcome = await take_up(fleet.protocols[taker], timers)
+        nursery.cancel_scope.cancel()
+    return outcome
+
+
+class PlannedStopTest(TestCase):
+    """An instance that stops serves streams until its grace ends."""
+
+    # Refusals of streams that an instance began after it had said that it
+    # stops: it told nobody which version began them.
+    @params((MESH, MESH[0]), (HUB_FLEET, MEMBER), (HUB_FLEET, HUB))
+    def test_stream_begun_in_the_grace_goes_on_elsewhere(
+        self, names: tuple[str, ...], taker: str
+    ) -> None:
+        clock = MockClock(autojump_threshold=0)
+        outcome = trio.run(leave_then_begin, names, taker, clock=clock)
+        self.assertIsNone(outcome.code)
+        self.assertEqual(outcome.hosts, ('d2',))
+
+
 class SharedVersionsTest(TestCase):
     """Instances tell each other of versions again and again."""
 
