Don't send a stream on from its backup for a silence of a second

Callers saw: a stream whose engine was silent for a second in its middle went on from the backup at another engine, and was cut where that engine had no room, no backup or no retry budget. The silent engine learns only later that it was closed, so it may work on the same run beside the other.

A sound engine may be silent for longer.

A broken or refused connection is acted on at once as before.

--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -48,11 +48,11 @@
 
 # A stream that has a backup tries to switch to it after a pause of STALL_FACTOR
 # times the route's longest acceptable gap between events, but of no less than
-# STALL_SECONDS: a sound engine may be silent for a second or so, and callers
-# abandon a stream after two.  Streams without a backup keep waiting, as the
-# engine may have preempted them.
+# STALL_SECONDS: sound engines are silent for a second or so, and callers leave
+# after a gap of two seconds at the earliest.  Streams without a backup keep
+# waiting, as the engine may have preempted them.
 STALL_FACTOR: Final = 5.0
-STALL_SECONDS: Final = 1.5
+STALL_SECONDS: Final = 1.75
 
 # Refusals by decode engines with which the KV cache of the prompt is still
 # used.  After more, the prefill is repeated, as the cache may be gone.
