Send the target of a request to an upstream as the caller sent it

Callers: a request whose path has dot segments or characters that a URL library quotes ran with another path ("/a/x/../1" as "/a/1"); one with "#" in its target ended by an exception, so with 500 from us, though its route exists.

Cause: the target was made a part of an httpx.URL, which normalizes paths and raises httpx.InvalidURL. That is no HTTPError, so nothing caught it; the same happened for an address of a peer that makes no URL.

Evidence, test_upstream_call on the code before: "Ran 21 tests", "FAILED (failures=3, errors=3)": "'/a/1' != '/a/x/../1'", "'/a/1?b=/../c' != '/a/./1?b=/../c'", "httpx.InvalidURL: Invalid URL component 'path'", "httpx.InvalidURL: Invalid port: '²'".

Change: the URL has only the address, and the target goes into the request line as it is, through the extension of httpcore for that. What may stand in a request line is checked by h11 when the caller's request is read. An address that makes no URL counts as unreachable, as nothing was sent.

After: Ran 21 tests, OK.

--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -37,6 +37,7 @@
 
 # Errors after which nothing has been sent to the upstream.
 _NOT_SENT: Final = (
+    httpx.InvalidURL,
     httpx.ConnectError,
     httpx.ConnectTimeout,
     httpx.PoolTimeout,
@@ -122,16 +123,9 @@
     Errors: ``UPSTREAM_UNREACHABLE`` or ``UPSTREAM_CLOSED`` if nothing was sent,
     ``UPSTREAM_FAILED``.
     """
-    incoming = call.request
-    request = client.build_request(
-        incoming.method,
-        httpx.URL(f'http://{call.address}').copy_with(
-            raw_path=incoming.target.encode('latin-1')
-        ),
-        headers=[*dialect.make_call_headers(call), *extra_headers],
-        content=incoming.body,
-    )
+    headers = [*dialect.make_call_headers(call), *extra_headers]
     try:
+        request = _build_request(client, call, headers)
         http_response = await client.send(request, stream=True)
     except UnsentRequestError as closed:
         detail = f'{call.upstream}: {closed!r}'
@@ -151,6 +145,24 @@
     )
 
 
+def _build_request(
+    client: httpx.AsyncClient, call: UpstreamCall, headers: RawHeaders
+) -> httpx.Request:
+    """Build the request of a call; raises ``httpx.InvalidURL``.
+
+    The caller's target is sent as it is: as a part of the URL it would be
+    normalized, or rejected.
+    """
+    incoming = call.request
+    return client.build_request(
+        incoming.method,
+        f'http://{call.address}',
+        headers=list(headers),
+        content=incoming.body,
+        extensions={'target': incoming.target.encode('latin-1')},
+    )
+
+
 def _check_response(
     call: UpstreamCall, response: UpstreamResponse
 ) -> Result[UpstreamResponse, Failure]:
--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -6,6 +6,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from functools import partial
 from typing import NamedTuple
 from unittest import TestCase
 
@@ -18,10 +19,13 @@
 from cranberryrelay.relay import UpstreamCall
 from cranberryrelay.relay._upstream_call import (
     UpstreamResponse,
+    make_upstream_client,
     open_response,
     read_body,
+    send_call,
 )
 from cranberryrelay.relay.tests.fixtures import make_arrival
+from cranberryrelay.standins import LOOPBACK
 
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
 NOT_RUN = {'X-Cranberryrelay-Not-Executed': '1'}
@@ -132,6 +136,63 @@
         trio.run(read)
 
 
+class TargetTest(TestCase):
+    """Targets of requests as an upstream receives them."""
+
+    # Guards against a request that runs with another path or query than the
+    # caller's, and against one that ends by an exception.
+    @params(
+        '/a/1',
+        '/a/1?',
+        '/a/x/../1',
+        '/a/./1?b=/../c',
+        '/a/%7e/%2e%2e/{x}|y?q=<z>&r=%zz',
+        '/a/1#part',
+        '/a/1?b#part',
+        '//a/1',
+    )
+    def test_target_is_sent_unchanged(self, target: str) -> None:
+        self.assertEqual(trio.run(send_target, target), target)
+
+    # Guards against an exception for an address that a peer has stated.
+    def test_address_that_makes_no_url_is_unreachable(self) -> None:
+        async def send() -> ResultCode:
+            call = UpstreamCall(make_arrival('r1'), 'u1', '10.0.0.1:\xb2', 1)
+            async with make_upstream_client() as client, AsyncExitStack() as st:
+                sent = await send_call(client, TargetDialect(), call, st)
+            return sent.unwrap_err().code
+
+        self.assertIs(trio.run(send), ResultCode.UPSTREAM_UNREACHABLE)
+
+
+async def send_target(target: str) -> str:
+    """Send a request to a server on the loopback; return its target there."""
+    received: list[bytes] = []
+
+    async def serve(stream: trio.SocketStream) -> None:
+        async with stream:
+            received.append(bytes(await stream.receive_some()))
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'
+            )
+
+    async with (
+        trio.open_nursery() as nursery,
+        make_upstream_client() as client,
+        AsyncExitStack() as stack,
+    ):
+        listeners = await nursery.start(
+            partial(trio.serve_tcp, serve, 0, host=LOOPBACK)
+        )
+        port = listeners[0].socket.getsockname()[1]
+        call = UpstreamCall(
+            make_arrival('r1', path=target), 'u1', f'{LOOPBACK}:{port}', 1
+        )
+        await send_call(client, TargetDialect(), call, stack)
+        nursery.cancel_scope.cancel()
+    return received[0].split()[1].decode('latin-1')
+
+
 async def stream_endlessly() -> AsyncIterator[bytes]:
     """Yield the start of a body and never complete it."""
     yield b'start'
