Keep no cookies of upstreams

Callers: a cookie that an upstream set in the answer to one caller was sent with the requests of other callers to the same address.

Cause: the client for upstreams is shared by all requests, and httpx keeps the cookies of answers and adds them to later requests.

Evidence, test_upstream_call on the code before: "Lists differ: [None, 'a=secret'] != [None, None]", "Ran 22 tests", "FAILED (failures=1)". Found by reading what else the client does with an answer, not by an incident.

Change: the client's cookie policy accepts no domain. Callers' own Cookie and Set-Cookie headers pass as before.

After: Ran 22 tests, OK.

--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from http.cookiejar import DefaultCookiePolicy
 from typing import Final, NamedTuple
 
 import httpx
@@ -79,6 +80,8 @@
         trust_env=False,
     )
     client.headers.clear()
+    # Cookies are the caller's: kept here, they would go to other callers.
+    client.cookies.jar.set_policy(DefaultCookiePolicy(allowed_domains=()))
     return client
 
 
--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -165,6 +165,28 @@
         self.assertIs(trio.run(send), ResultCode.UPSTREAM_UNREACHABLE)
 
 
+class CookieTest(TestCase):
+    """Cookies that an upstream sets for one caller."""
+
+    # Guards against a caller's cookie in the requests of other callers.
+    def test_cookie_is_not_sent_with_another_request(self) -> None:
+        cookies: list[str | None] = []
+
+        def respond(request: httpx.Request) -> httpx.Response:
+            cookies.append(request.headers.get('Cookie'))
+            return httpx.Response(200, headers={'Set-Cookie': 'a=secret'})
+
+        async def scenario() -> None:
+            call = UpstreamCall(make_arrival('r1'), 'u1', '10.0.0.1:1', 1)
+            async with make_upstream_client() as client, AsyncExitStack() as st:
+                client._transport = httpx.MockTransport(respond)
+                for _ in range(2):
+                    await send_call(client, TargetDialect(), call, st)
+
+        trio.run(scenario)
+        self.assertEqual(cookies, [None, None])
+
+
 async def send_target(target: str) -> str:
     """Send a request to a server on the loopback; return its target there."""
     received: list[bytes] = []
