Bound the numbers that callers, engines and the store state

Callers: one request with X-Cranberryrelay-Token-Count of 30 digits put a number into the load report that no message can hold, which ended the heartbeats and so each process that took such a request. Numbers of more than 4,300 digits in a header got 500. An engine's report or prefill answer with deep nesting, or an event number of 5,000 digits, ended the task or the request that read it; so did a status that Python has no name for, such as 599, from the store.

Cause: isdecimal and isdigit say nothing of the size, and int() of a long text, the JSON decoder's RecursionError and HTTPStatus() raise errors that nobody there expects. Paths of the store were made from names of services, which any engine may state.

Change: parse_whole_number takes up to 18 ASCII digits, 12 for tokens; what is larger counts as not stated. Statuses are compared as numbers. A name is quoted as one part of a store's path, and a URL that cannot be made is a call that was not sent.

--- a/cranberryrelay/platform/_dialect.py
+++ b/cranberryrelay/platform/_dialect.py
@@ -2,12 +2,13 @@
 
 import re
 from http import HTTPStatus
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform._json_parts import decode_json
 from cranberryrelay.relay import (
     IncomingRequest,
     ModelRequest,
@@ -17,6 +18,7 @@
     ResponseMetadata,
     UpstreamCall,
 )
+from cranberryrelay.wire import INTEGER_MAX
 
 _PREFIX: Final = b'x-cranberryrelay-'
 _REQUEST_ID: Final = b'X-Cranberryrelay-Request-Id'
@@ -69,6 +71,11 @@
         b'x-cranberryrelay-kv-fetch',
     )
 )
+# Most digits of a number, so that it fits 64 bits, and of a number of tokens,
+# whose sums are sent to other instances.
+_NUMBER_DIGITS: Final = 18
+_TOKENS_DIGITS: Final = 12
+_HEADER_WORD: Final = re.compile('[!-~]+')
 _DECIMAL_NUMBER: Final = re.compile(r'\d{1,9}(\.\d{1,9})?', re.ASCII)
 _MISDIRECTED: Final = 421
 
@@ -79,7 +86,7 @@
 
 class _Prefill(msgspec.Struct, frozen=True):
     transfer_handle: str
-    tokens: int = 0
+    tokens: Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)] = 0
 
 
 class TargetDialect:
@@ -151,11 +158,16 @@
 
         Errors: ``ANSWER_MISMATCH``.
         """
-        try:
-            result = msgspec.json.decode(body, type=_Prefill)
-        except msgspec.MsgspecError as error:
-            return Err(fail(ResultCode.ANSWER_MISMATCH, str(error)))
-        return Ok(PrefillResult(result.transfer_handle, result.tokens))
+        decoded = decode_json(body, _Prefill)
+        if isinstance(decoded, Err):
+            detail = decoded.unwrap_err().detail
+            return Err(fail(ResultCode.ANSWER_MISMATCH, detail))
+        prefill: _Prefill = decoded.unwrap()
+        # The handle is sent in a header of the call that fetches the cache.
+        if not _HEADER_WORD.fullmatch(prefill.transfer_handle):
+            detail = 'the transfer handle does not fit a header'
+            return Err(fail(ResultCode.ANSWER_MISMATCH, detail))
+        return Ok(PrefillResult(prefill.transfer_handle, prefill.tokens))
 
 
 def _internal_headers(call: UpstreamCall) -> list[tuple[bytes, bytes]]:
@@ -183,8 +195,13 @@
 
 
 def _parse_number(headers: RawHeaders, wanted: bytes) -> int | None:
-    text = _find_header(headers, wanted)
-    return int(text) if text.isdecimal() else None
+    return parse_whole_number(_find_header(headers, wanted))
+
+
+def parse_whole_number(text: str, limit: int = _NUMBER_DIGITS) -> int | None:
+    """Return the number in a text; None if it is none of ``limit`` digits."""
+    digits = text.isascii() and text.isdigit() and len(text) <= limit
+    return int(text) if digits else None
 
 
 def _parse_decimal(headers: RawHeaders, wanted: bytes) -> float | None:
@@ -203,15 +220,19 @@
 
 def _parse_work(headers: RawHeaders) -> ModelRequest | None:
     model = _find_header(headers, _MODEL)
-    counts = _find_header(headers, _TOKEN_COUNTS).split(',')
+    counts = [
+        parse_whole_number(count.strip(), _TOKENS_DIGITS)
+        for count in _find_header(headers, _TOKEN_COUNTS).split(',')
+    ]
     if not model or len(counts) != 2:
         return None
-    if not all(count.strip().isdecimal() for count in counts):
+    prompt_tokens, output_tokens = counts
+    if prompt_tokens is None or output_tokens is None:
         return None
     return ModelRequest(
         model=model,
-        prompt_tokens=int(counts[0]),
-        output_tokens=int(counts[1]),
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
         segments=_parse_parts(_find_header(headers, _PROMPT_PARTS)),
     )
 
@@ -219,7 +240,8 @@
 def _parse_parts(text: str) -> tuple[PromptSegment, ...]:
     parts: list[PromptSegment] = []
     for entry in text.split(','):
-        digest, _, tokens = entry.strip().partition(':')
-        if digest and tokens.isdecimal():
-            parts.append(PromptSegment(digest, int(tokens)))
+        digest, _, count = entry.strip().partition(':')
+        tokens = parse_whole_number(count, _TOKENS_DIGITS)
+        if digest and tokens is not None:
+            parts.append(PromptSegment(digest, tokens))
     return tuple(parts)
--- a/cranberryrelay/platform/_engine_control.py
+++ b/cranberryrelay/platform/_engine_control.py
@@ -1,10 +1,10 @@
 """Reads reports of engines and sends orders to them."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Final
+from typing import Annotated, Final
 
 import httpx
 import msgspec
@@ -12,6 +12,7 @@
 
 from cranberryrelay.codes import Failure, ResultCode, fail
 from cranberryrelay.platform._dialect import TargetDialect
+from cranberryrelay.platform._json_parts import decode_json
 from cranberryrelay.relay import (
     ORDER_TIMEOUT_SECONDS,
     EngineReport,
@@ -22,9 +23,10 @@
     RoleOrder,
     Upstream,
 )
+from cranberryrelay.wire import INTEGER_MAX
 
 _EXPECT_INSTANCE: Final = 'X-Cranberryrelay-Expect-Instance'
-_OUTCOMES_BY_STATUS: Final = MappingProxyType(
+_OUTCOMES_BY_STATUS: Final[Mapping[int, OrderOutcome]] = MappingProxyType(
     {
         HTTPStatus.OK: OrderOutcome.ACCEPTED,
         HTTPStatus.ACCEPTED: OrderOutcome.ACCEPTED,
@@ -40,7 +42,7 @@
     # True while the engine executes an order.
     busy: bool = False
     # Orders accepted; the store's record uses the name in another sense.
-    sequence: int = 0
+    sequence: Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)] = 0
 
 
 class TargetEngineControl:
@@ -59,18 +61,13 @@
                 f'http://{engine.address}/v1/report',
                 headers={_EXPECT_INSTANCE: engine.name},
             )
-            observe(self.parse(response))
-            report = msgspec.json.decode(response.content, type=_Report)
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+        except httpx.HTTPError as error:
             return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
+        observe(self.parse(response))
         if response.status_code != HTTPStatus.OK:
             detail = f'{engine.name}: status {response.status_code}'
             return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
-        try:
-            role = Role(report.stage)
-        except ValueError as error:
-            return Err(fail(ResultCode.UPSTREAM_FAILED, str(error)))
-        return Ok(EngineReport(role, report.busy, report.sequence))
+        return decode_report(response.content)
 
     async def order(
         self, order: RoleOrder, observe: MetadataObserver
@@ -98,8 +95,9 @@
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
         observe(self.parse(response))
-        status = HTTPStatus(response.status_code)
-        return Ok(_OUTCOMES_BY_STATUS.get(status, OrderOutcome.REFUSED))
+        return Ok(
+            _OUTCOMES_BY_STATUS.get(response.status_code, OrderOutcome.REFUSED)
+        )
 
     def parse(self, response: httpx.Response) -> ResponseMetadata:
         """Return what the headers of a response say of the engine."""
@@ -108,6 +106,20 @@
         )
 
 
+def decode_report(body: bytes) -> Result[EngineReport, Failure]:
+    """Decode the report of an engine; errors: ``UPSTREAM_FAILED``."""
+    decoded = decode_json(body, _Report)
+    if isinstance(decoded, Err):
+        detail = decoded.unwrap_err().detail
+        return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
+    report: _Report = decoded.unwrap()
+    try:
+        role = Role(report.stage)
+    except ValueError as error:
+        return Err(fail(ResultCode.UPSTREAM_FAILED, str(error)))
+    return Ok(EngineReport(role, report.busy, report.sequence))
+
+
 @asynccontextmanager
 async def open_engine_control() -> AsyncIterator[TargetEngineControl]:
     """Open an HTTP client for reports and orders."""
--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -1,17 +1,19 @@
 """HTTP client of the target platform's store of records by kind and name."""
 
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any, Final
+from urllib.parse import quote
 
 import httpx
 import msgspec
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform._dialect import parse_whole_number
 from cranberryrelay.platform._store_documents import (
     StoreAnswer,
     decode_change,
@@ -37,11 +39,13 @@
 _MS_PER_SECOND: Final = 1000
 # Errors raised before the request is sent, so it was certainly not executed.
 _NOT_SENT_ERRORS: Final = (
+    httpx.InvalidURL,
     httpx.ConnectError,
     httpx.ConnectTimeout,
     httpx.PoolTimeout,
 )
-_CODES_BY_STATUS: Final = MappingProxyType(
+_DOTS: Final = ('.', '..')
+_CODES_BY_STATUS: Final[Mapping[int, ResultCode]] = MappingProxyType(
     {
         HTTPStatus.NOT_FOUND: ResultCode.STORE_NOT_FOUND,
         HTTPStatus.CONFLICT: ResultCode.STORE_CONFLICT,
@@ -191,22 +195,23 @@
         self.record_era(era)
         if response.is_success:
             return Ok(StoreAnswer(era, response.content))
-        status = HTTPStatus(response.status_code)
+        status = response.status_code
         code = _CODES_BY_STATUS.get(status, ResultCode.STORE_OUTCOME_UNKNOWN)
-        return Err(
-            fail(code, f'{method} {path} returned status {status.value}')
-        )
+        return Err(fail(code, f'{method} {path} returned status {status}'))
 
 
 def _read_era(response: httpx.Response) -> int:
     """Return the store's era; 0 if the answer has no valid one."""
-    era = response.headers.get(ERA_HEADER, '')
-    return int(era) if era.isdecimal() else 0
+    return parse_whole_number(response.headers.get(ERA_HEADER, '')) or 0
 
 
 def _object_path(kind: str, name: str = '') -> str:
     base = f'/v1/objects/{kind}'
-    return f'{base}/{name}' if name else base
+    if not name:
+        return base
+    # A service, and so a record, may have any name that an engine states.
+    part = quote(name, safe='')
+    return f'{base}/{part.replace(".", "%2E") if name in _DOTS else part}'
 
 
 def _history_gone(kind: str, era: int) -> Failure:
--- a/cranberryrelay/relay/_events.py
+++ b/cranberryrelay/relay/_events.py
@@ -9,6 +9,9 @@
 _ID_FIELD: Final = b'id:'
 _COMMENT: Final = b':'
 
+# Most digits of an event's number.
+_NUMBER_DIGITS: Final = 18
+
 # Start of a line of an event: the name of a field, or a comment.
 _LINE_START: Final = re.compile(rb'([a-z][a-z0-9-]*)?:')
 
@@ -60,6 +63,6 @@
     for line in lines:
         if line.startswith(_ID_FIELD):
             number = line[len(_ID_FIELD) :].strip()
-            if number.isdigit():
+            if number.isdigit() and len(number) <= _NUMBER_DIGITS:
                 return Event(int(number), content)
     return Event(None, content)
