Ask a peer that is heard again for what it told meanwhile

Callers saw nothing yet; found by a test. An instance that heard nothing for some seconds, while its peers heard it, lacked for good what they had told in between: prompt parts that crash engines, limits that engines name, engines that leave. It passed a request on that all others refuse.

Cause: news is sent once and repaired when a peer returns after a silence. An instance that notices such a return sends what it knows, but does not ask. The peer that sent into the void has heard this instance all the while, so it sees no return and sends nothing.

Evidence: OneWayLossTest, what is sent to one of 7 instances is lost for 12 s and a request crashes two engines meanwhile; before: AssertionError: <Clearance.GRANTED: 1> is not <Clearance.REFUSED: 3> The row with hubs (21 instances) passed before: there the silence makes the peers introduce themselves again.

Change: an instance that hears a peer again also sends it a hello that wants an answer, to which every build answers with what it knows. At most one for each return; after a cut both ways both sides ask, so what each knows is sent twice.

After: 2 of 2 pass.

--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -136,8 +136,12 @@
         """Handle one message of a peer."""
         now = self.timers.now()
         if self.membership.has_returned(sender, now):
-            # News that was sent meanwhile may be lost.
+            # News that was sent meanwhile may be lost, also on the way here. A
+            # peer that heard this instance all the while does not know it, so
+            # it is asked for what it knows.
             self.news_exchange.send_summary(sender)
+            address = self.membership.peers[sender].location.address
+            self.send_hello(sender, address)
         self.membership.record_message(sender, now)
         dispatch_message(message, self, sender)
 
