Wait for peers at the start only while they can be heard

An instance that started on an older release note, from a store that was restored from a copy, and froze before its peers' answers were handled, served under the older note after the thaw, also when a peer had already told it that a newer one is in force.

Cause: the start check waits one second for the note of the peers by the clock. A freeze lets that second pass while nothing can be heard, and not having heard counts as proof that nobody has a newer note.

Evidence: test_instance_that_froze_at_its_start_waits, clock ahead by 5 s two heartbeats after the start, revision with which the check passed; before: AssertionError: Lists differ: [7] != [9]

Change: the time in which the instance stood still is added to the beginning of the wait.

After: [9]; test_start_check 21 passed.

--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -461,6 +461,7 @@
     if absent_seconds > 0:
         record_absence(protocol.membership, absent_seconds, now)
         protocol.group_hub.record_absence(absent_seconds, now)
+        protocol.state.start_check.record_absence(absent_seconds)
         _LOG.warning(
             'stood still',
             extra={'seconds': round(absent_seconds + ABSENCE_SECONDS, 3)},
--- a/cranberryrelay/relay/_start_check.py
+++ b/cranberryrelay/relay/_start_check.py
@@ -67,6 +67,11 @@
             return False
         return max(self.waiting_peers.values()) <= revision
 
+    def record_absence(self, seconds: float) -> None:
+        """Leave out of the wait a time in which no peer could be heard."""
+        if self.waiting_since is not None:
+            self.waiting_since += seconds
+
     def update(self, revision: int, now: float) -> None:
         """Pass once the revision in force is confirmed or nobody serves."""
         if self.passed or revision == NO_REVISION:
--- a/cranberryrelay/relay/tests/test_start_check.py
+++ b/cranberryrelay/relay/tests/test_start_check.py
@@ -13,6 +13,7 @@
 
 from cranberryrelay.relay import KindListing
 from cranberryrelay.relay._peer_messages import NoteShare
+from cranberryrelay.relay._peer_protocol import HEARTBEAT_SECONDS
 from cranberryrelay.relay._start_check import (
     NO_REVISION,
     StartCheck,
@@ -30,6 +31,8 @@
 RESTORED_NOTE = 7
 RUNNING = ('front-a-0', 'front-b-0', 'front-c-0')
 
+FREEZE_SECONDS = 5.0
+
 # Time within which instances that all start at once must serve, from the moment
 # at which they have read the store.
 RESTART_SECONDS = 0.4
@@ -125,9 +128,27 @@
         served = trio.run(collect_served_revisions, clock=clock)
         self.assertEqual(served, {NOTE_IN_FORCE})
 
-
-async def collect_served_revisions() -> set[int]:
-    """Return the revisions under which a new instance is ready."""
+    # Requests that a new instance admits under an older note, as it stood still
+    # in the time in which its peers would have told it of the newer one.
+    def test_instance_that_froze_at_its_start_waits(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        with self.assertLogs('cranberryrelay.relay') as logs:
+            trio.run(collect_served_revisions, clock, clock=clock)
+        passed_with = [
+            vars(record)['revision']
+            for record in logs.records
+            if record.message == 'start check passed'
+        ]
+        self.assertEqual(passed_with, [NOTE_IN_FORCE])
+
+
+async def collect_served_revisions(
+    frozen_clock: MockClock | None = None,
+) -> set[int]:
+    """Return the revisions under which a new instance is ready.
+
+    With a clock, it stands still before it has heard its peers' heartbeats.
+    """
     async with open_timer_service() as timers, trio.open_nursery() as nursery:
         fleet = Fleet(FakeNetwork(), nursery)
         for name in RUNNING:
@@ -142,6 +163,9 @@
         replica.apply_note_share(NoteShare(make_note(RESTORED_NOTE)))
         listing = KindListing((make_upstream_record('i-1', 10),), at(10))
         replica.apply_upstream_listing(listing)
+        if frozen_clock:
+            await trio.sleep(2 * HEARTBEAT_SECONDS)
+            frozen_clock.jump(FREEZE_SECONDS)
         served: set[int] = set()
         for _ in range(200):
             if newcomer.state.is_ready():
