Read the field of a log record within the linter's rules

flake8 reports WPS421 for the call of vars() in the new test of the start check. What the test checks is the same; 21 passed before and after.

--- a/cranberryrelay/relay/tests/test_start_check.py
+++ b/cranberryrelay/relay/tests/test_start_check.py
@@ -135,7 +135,7 @@
         with self.assertLogs('cranberryrelay.relay') as logs:
             trio.run(collect_served_revisions, clock, clock=clock)
         passed_with = [
-            vars(record)['revision']
+            record.__dict__['revision']
             for record in logs.records
             if record.message == 'start check passed'
         ]
