Don't count a timeout within a sound silence against an upstream

Callers saw: after an upstream had been silent for a second, their requests avoided it for 0.5 s and more, here and at peers that were told, because other callers' deadlines had ended in that second; three such timeouts in a row made it an unreachable one.

Cause: each timeout of a call to an engine counted as its failure, however short the time that the caller had left. For plain services only waits of more than a second counted, but from the arrival of the request, so that time spent in a queue or at another process counted too.

Evidence, on the code before: of 36 rows in virtual time, all upstreams silent for 1.5 s and callers with 0.9, 1.2 and 1.4 s, 17 failed, with AssertionError: ['u0', 'u1', 'u2', 'u3'] is not false AssertionError: ['u0', 'u2'] is not false (the names of upstreams with a failure recorded).

Change: one rule for both paths. A timeout counts only if the call itself has waited for more than 1.5 s, which a sound upstream isn't silent for; shorter ones are counted in the metric alone. What the caller gets is the same.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -21,6 +21,10 @@
 
 Chosen = TypeVar('Chosen')
 
+# A timeout counts as a failure of the upstream only after a longer wait, as a
+# sound upstream may be silent for a second or so and callers have less time.
+SOUND_SILENCE_SECONDS: Final = 1.5
+
 # Time over which the callers of a rank return after a rest.
 RETURN_SPREAD_SECONDS: Final = 0.2
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
@@ -38,6 +42,9 @@
         # Names of upstreams that this request does not try again.
         self.excluded: frozenset[str] = frozenset()
 
+        # Time of the last send, in seconds on the local clock.
+        self.sent_at = float('-inf')
+
     def remaining_seconds(self) -> float:
         """Return the time left until the deadline of the request."""
         return self.admitted.remaining_seconds(self.context.timers.now())
@@ -50,6 +57,7 @@
         Every request of a caller to an upstream is sent here.
         """
         sent_at = self.context.timers.now()
+        self.sent_at = sent_at
         self.context.state.record_attempt(upstream.name, sent_at)
         self.log_unwanted_send(upstream, sent_at)
         return await open_response(
@@ -60,6 +68,21 @@
             partial(self.record_metadata, upstream, sent_at),
         )
 
+    def record_upstream_failure(
+        self, upstream: Upstream, failure: Failure
+    ) -> None:
+        """Record the failure of the last send for the upstream.
+
+        A timeout that a sound silence explains is only counted.
+        """
+        state = self.context.state
+        now = self.context.timers.now()
+        timed_out = failure.code is ResultCode.UPSTREAM_TIMEOUT
+        if timed_out and now - self.sent_at <= SOUND_SILENCE_SECONDS:
+            state.telemetry.count_failure(failure.code)
+        else:
+            state.record_failure(upstream.name, failure, now)
+
     def record_metadata(
         self, upstream: Upstream, sent_at: float, metadata: ResponseMetadata
     ) -> None:
@@ -177,7 +200,5 @@
     def record_failure(self, engine: Upstream, failure: Failure) -> None:
         """Exclude an engine that failed and record the failure."""
         self.excluded |= {engine.name}
-        self.context.state.record_failure(
-            engine.name, failure, self.context.timers.now()
-        )
+        self.record_upstream_failure(engine, failure)
         self.log.log_engine_failure(engine, failure)
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -20,9 +20,6 @@
 from cranberryrelay.relay._requests import UpstreamCall
 from cranberryrelay.relay._upstream_call import UNSENT_CODES, read_body
 
-# A timeout counts as a failure of the process only if the request has waited
-# longer than this, as the timeout of a route may be shorter.
-UNRESPONSIVE_SECONDS: Final = 1.0
 _SERVER_ERROR: Final = 500
 
 # Failures after which the process may have crashed on the call.
@@ -154,11 +151,7 @@
 
     def record_failure(self, upstream: Upstream, failure: Failure) -> None:
         """Record and log a failure; a timeout counts only if it was long."""
-        now = self.context.timers.now()
-        waited = now - self.admitted.request.arrived_at
-        timed_out = failure.code is ResultCode.UPSTREAM_TIMEOUT
-        if not timed_out or waited > UNRESPONSIVE_SECONDS:
-            self.context.state.record_failure(upstream.name, failure, now)
+        self.record_upstream_failure(upstream, failure)
         _LOG.info(
             'service failed',
             extra={
--- a/cranberryrelay/relay/tests/test_silent_upstreams.py
+++ b/cranberryrelay/relay/tests/test_silent_upstreams.py
@@ -15,11 +15,16 @@
 import httpx
 import trio
 from nose2.tools import params
+from result import Err
 from trio.testing import MockClock
 
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import ClientLimits, RequestKind, Role, Upstream
-from cranberryrelay.relay._context import RelayContext, StreamReply
+from cranberryrelay.relay._context import (
+    BrokenStreamError,
+    BufferedReply,
+    RelayContext,
+)
 from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._serving import monitor_reach
 from cranberryrelay.relay._state import RelayState
@@ -35,6 +40,8 @@
 
 SILENCES_SECONDS = (1.0, 1.2, 1.5)
 REQUESTS = 6
+LONG_SECONDS = 8.0
+MILLISECONDS = 1000
 NAMES = ('u0', 'u1', 'u2', 'u3')
 ALL = frozenset(NAMES)
 
@@ -148,32 +155,46 @@
     return state
 
 
-async def request(pipeline: RelayPipeline, name: str) -> bytes:
-    """Send a request of a caller; return the body of a success."""
+async def request(
+    pipeline: RelayPipeline, name: str, timeout_seconds: float
+) -> bytes:
+    """Send a request of a caller; return the body, or the failure's code."""
     headers = (
         (ID_HEADER.encode(), name.encode()),
         (b'Host', b'a.example'),
         (b'X-Cranberryrelay-Model', b'm'),
         (b'X-Cranberryrelay-Token-Count', b'800,32'),
+        (
+            b'X-Cranberryrelay-Deadline-Ms',
+            str(int(timeout_seconds * MILLISECONDS)).encode(),
+        ),
     )
     arrival = make_arrival('')._replace(
         headers=headers, arrived_at=pipeline.context.timers.now()
     )
     async with AsyncExitStack() as stack:
-        reply = (await pipeline.serve(arrival, stack)).unwrap()
-        if isinstance(reply, StreamReply):
+        outcome = await pipeline.serve(arrival, stack)
+        if isinstance(outcome, Err):
+            return outcome.unwrap_err().code.name.encode()
+        reply = outcome.unwrap()
+        if isinstance(reply, BufferedReply):
+            return reply.body
+        try:
             return b''.join([event async for event in reply.events])
-        return reply.body
+        except BrokenStreamError:
+            return b'broken'
 
 
 async def play(
-    case: Case, upstreams: SilentUpstreams, state: RelayState
+    upstreams: SilentUpstreams,
+    state: RelayState,
+    timeout_seconds: float = LONG_SECONDS,
 ) -> list[bytes]:
     """Send requests while upstreams are silent; return the answers."""
     answers: list[bytes] = []
 
     async def send(pipeline: RelayPipeline, name: str) -> None:
-        answers.append(await request(pipeline, name))
+        answers.append(await request(pipeline, name, timeout_seconds))
 
     async with (
         open_timer_service() as timers,
@@ -202,10 +223,49 @@
         upstreams = SilentUpstreams(case)
         state = make_state(case)
         clock = MockClock(autojump_threshold=0)
-        answers = trio.run(play, case, upstreams, state, clock=clock)
+        answers = trio.run(play, upstreams, state, clock=clock)
         self.assertEqual(set(answers), {b''.join(WHOLE[case.kind])})
         self.assertEqual(len(answers), REQUESTS)
         self.assertEqual(len(upstreams.sent), len(set(upstreams.sent)))
         self.assertFalse(state.reach.cut_off)
         self.assertFalse([one for one in NAMES if state.fleet.has_failed(one)])
         self.assertFalse(state.crash_suspects.registry.records)
+
+
+class DeadlineCase(NamedTuple):
+    """A row: a kind of call, and its time, which ends while all are silent."""
+
+    kind: RequestKind
+
+    # Time of the callers, in seconds.
+    timeout_seconds: float
+
+    # Start of the silence, in steps of the answers.
+    begins: float
+
+
+DEADLINE_CASES = tuple(
+    DeadlineCase(*columns)
+    for columns in product(
+        (RequestKind.AT_MOST_ONCE, RequestKind.IDEMPOTENT, RequestKind.STREAM),
+        (0.9, 1.2, 1.4),
+        (0.5, 1.5, 3.5, 4.5),
+    )
+)
+
+
+class DeadlineTest(TestCase):
+    """A deadline that ends within a sound silence says nothing of upstreams."""
+
+    # Guards against avoiding an upstream because callers had less time than it
+    # was silent.
+    @params(*((case,) for case in DEADLINE_CASES))
+    def test_upstream_is_not_blamed(self, case: DeadlineCase) -> None:
+        silence = Case(case.kind, ALL, case.begins, 1.5)
+        upstreams = SilentUpstreams(silence)
+        state = make_state(silence)
+        clock = MockClock(autojump_threshold=0)
+        trio.run(play, upstreams, state, case.timeout_seconds, clock=clock)
+        self.assertEqual(len(upstreams.sent), len(set(upstreams.sent)))
+        self.assertFalse([one for one in NAMES if state.fleet.has_failed(one)])
+        self.assertFalse(state.peer_update.failed)
