--- a/cranberryrelay/relay/tests/test_kept_connections.py
+++ b/cranberryrelay/relay/tests/test_kept_connections.py
@@ -188,7 +188,7 @@
     # Pipeline of the instance.
     pipeline: RelayPipeline
 
-    async def send(self, request_id: str) -> str:
+    async def send(self, request_id: str, target: str = '/a/1') -> str:
         """Send a request of a caller; return its body, or its code."""
         headers = (
             (b'Host', b'a.example'),
@@ -196,7 +196,8 @@
             (b'X-Cranberryrelay-Model', b'm'),
             (b'X-Cranberryrelay-Token-Count', b'800,32'),
         )
-        arrival = make_arrival('')._replace(
+        arrival = make_arrival('', path=target.partition('?')[0])._replace(
+            target=target,
             headers=headers,
             arrived_at=self.pipeline.context.timers.now(),
             body=b'order',
