Let the reader of a connection decide that it is idle

Callers saw neither an answer nor a refusal for a request that was sent on a kept connection at about its idle limit, or as a planned stop closed idle connections, though the request was passed on and ran.

Cause: hypercorn closes an idle connection from a task of its own, which is shielded once its time is over. The reader takes a request in the meantime: stopping the idle task is a checkpoint, and the task that has begun to close can't be stopped. The request is started, and its answer meets a closed socket.

Change: a subclass of hypercorn's connection in which the wait for bytes is itself limited in time, and a loop of our own that starts it, as hypercorn's names its class. The wait ends with bytes, and the request is taken, or without, and nothing is read any more; one task decides, once. Before it closes it looks for bytes that have arrived while other tasks ran. A head of which a part has arrived is not idle: the header time limit of the note applies, which nothing enforced before, and ends with 408. At the end of the grace the sockets are closed, which ends blocked sends.

--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -1,25 +1,20 @@
 """Starts the components of an instance and serves until it is stopped."""
 
-import logging
 import random
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 import trio
 
 from cranberryrelay.relay._account_writer import AccountWriter
+from cranberryrelay.relay._caller_servers import serve_callers
 from cranberryrelay.relay._connection_probe import (
     ConnectionProbe,
     probe_connection,
 )
 from cranberryrelay.relay._context import RelayContext
 from cranberryrelay.relay._duties import Duties
-from cranberryrelay.relay._front_app import (
-    make_forward_app,
-    make_front_app,
-    make_readiness_app,
-)
 from cranberryrelay.relay._order_lease import OrderLease
 from cranberryrelay.relay._orders import EngineControl
 from cranberryrelay.relay._peer_messages import PEER_MESSAGE_TYPES
@@ -35,7 +30,6 @@
 from cranberryrelay.relay._upstream_call import make_upstream_client
 from cranberryrelay.relay._upstream_reach import LOOK_SECONDS, ReachMonitor
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
-from cranberryrelay.serving import HttpServerOptions, serve_http
 from cranberryrelay.timing import TimerService, open_timer_service
 from cranberryrelay.wire import (
     CurveKeys,
@@ -44,14 +38,6 @@
     open_peer_network,
 )
 
-# Time for the load balancer to stop sending requests: it checks readiness once
-# a second and removes the instance after two failed checks.
-DEREGISTRATION_SECONDS: Final = 2.5
-
-# Part of the grace after SIGTERM reserved for the last bytes and the exit.
-SHUTDOWN_MARGIN_SECONDS: Final = 1.2
-_LOG: Final = logging.getLogger('cranberryrelay.relay')
-
 
 class RelayDependencies(NamedTuple):
     """Settings and platform adapters that an instance runs with."""
@@ -120,7 +106,7 @@
                 nursery, dependencies.store, dependencies.upstream_kind, duties
             )
             nursery.start_soon(keep_registered, dependencies.store, peers)
-            await _serve_callers(tools, peers, stop)
+            await serve_callers(tools, peers, stop)
             await account.write()
             nursery.cancel_scope.cancel()
 
@@ -220,75 +206,3 @@
         KindWatcher(dependencies.store, one, peers.timers, rng)
         for one in callbacks
     ]
-
-
-async def _serve_callers(
-    tools: RelayContext, peers: PeerProtocol, stop: trio.Event
-) -> None:
-    settings = tools.state.settings
-    grace_seconds = settings.bounds.grace_seconds
-    drain_seconds = (
-        grace_seconds - DEREGISTRATION_SECONDS - SHUTDOWN_MARGIN_SECONDS
-    )
-    trigger = DrainTrigger(tools, peers, stop)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            serve_http,
-            make_readiness_app(tools),
-            HttpServerOptions(
-                settings.ready_address,
-                drain_seconds,
-                tools.state.idle_seconds,
-            ),
-            trio.sleep_forever,
-        )
-        async with trio.open_nursery() as draining:
-            for app, address in (
-                (make_front_app(tools), settings.front_address),
-                (
-                    make_forward_app(tools),
-                    f'{settings.ip}:{settings.forward_port}',
-                ),
-            ):
-                options = HttpServerOptions(
-                    address, drain_seconds, tools.state.idle_seconds
-                )
-                draining.start_soon(serve_http, app, options, trigger.wait)
-            await trigger.run()
-        nursery.cancel_scope.cancel()
-
-
-class DrainTrigger:
-    """Delays the server's shutdown until the load balancer has reacted.
-
-    After the trigger the HTTP server closes idle connections, and running
-    requests may end within the rest of the grace.
-    """
-
-    def __init__(
-        self, tools: RelayContext, peers: PeerProtocol, stop: trio.Event
-    ) -> None:
-        self.tools = tools
-        self.peers = peers
-        self.stop = stop
-        self.reached = trio.Event()
-
-    async def wait(self) -> None:
-        """Return once a server must stop accepting requests."""
-        await self.reached.wait()
-
-    async def run(self) -> None:
-        """Wait for the stop, announce it, and let the balancer react."""
-        await self.stop.wait()
-        state = self.tools.state
-        state.draining = True
-        self.peers.send_farewell()
-        _LOG.info('draining', extra={'active': len(state.active)})
-        await self.tools.timers.pause(DEREGISTRATION_SECONDS)
-        now = self.tools.timers.now()
-        unfinished = [
-            (one.path, round(now - one.started_at, 3))
-            for one in state.active.values()
-        ]
-        _LOG.info('stops accepting requests', extra={'left': unfinished})
-        self.reached.set()
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -39,8 +39,8 @@
 # Idle timeout of client connections while no release note is known.
 DEFAULT_IDLE_SECONDS: Final = 20.0
 
-# Added to the idle timeout of the release note, so that a request that is in
-# transit when the timeout expires is still accepted.
+# Added to the timeouts of the release note for connections and heads, so that
+# bytes in transit when they expire are still accepted.
 IDLE_MARGIN_SECONDS: Final = 0.5
 
 # Settings that take effect only at a restart, as sockets depend on them.
--- a/cranberryrelay/relay/tests/test_settings_reload.py
+++ b/cranberryrelay/relay/tests/test_settings_reload.py
@@ -10,6 +10,7 @@
 from trio.testing import MockClock
 
 from cranberryrelay.relay import ClientLimits, InstanceSettings, RequestKind
+from cranberryrelay.relay._caller_servers import head_seconds
 from cranberryrelay.relay._state import (
     DEFAULT_IDLE_SECONDS,
     IDLE_MARGIN_SECONDS,
@@ -23,6 +24,7 @@
 )
 from cranberryrelay.relay_program import SettingsReader
 from cranberryrelay.serving import (
+    DEFAULT_HEAD_SECONDS,
     HttpServerOptions,
     ShieldedSendApp,
     serve_http,
@@ -71,6 +73,15 @@
         state.apply_table(make_plain_table(3, route, limits), 'test')
         self.assertEqual(state.idle_seconds(), 45 + IDLE_MARGIN_SECONDS)
 
+    # Guards against heads of requests that are waited for without end.
+    def test_head_limit_comes_from_the_note(self) -> None:
+        state = RelayState(make_settings())
+        self.assertEqual(head_seconds(state), DEFAULT_HEAD_SECONDS)
+        route = make_route(RequestKind.IDEMPOTENT)
+        limits = ClientLimits()._replace(header_seconds=4)
+        state.apply_table(make_plain_table(3, route, limits), 'test')
+        self.assertEqual(head_seconds(state), 4 + IDLE_MARGIN_SECONDS)
+
 
 class SettingsReaderTest(TestCase):
     """The settings file changes without a signal."""
--- a/cranberryrelay/serving/__init__.py
+++ b/cranberryrelay/serving/__init__.py
@@ -1,5 +1,8 @@
 """HTTP server on hypercorn for ASGI apps."""
 
+from cranberryrelay.serving._http_server import (
+    DEFAULT_HEAD_SECONDS as DEFAULT_HEAD_SECONDS,
+)
 from cranberryrelay.serving._http_server import (
     HttpServerOptions as HttpServerOptions,
 )
--- /dev/null
+++ b/cranberryrelay/serving/_http_connection.py
@@ -0,0 +1,225 @@
+"""A connection of a caller, which is closed by the task that reads from it.
+
+Hypercorn lets a task of its own close an idle connection. A request that has
+been read at that moment is still handled, and its answer is lost. Here the wait
+for bytes is itself limited in time: it ends with bytes, and the connection goes
+on, or without any, and nothing is read any more.
+"""
+
+from enum import Enum, auto
+from math import inf
+from typing import Final, NamedTuple, Protocol
+
+import trio
+from hypercorn.config import Config
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.protocol import ProtocolWrapper
+from hypercorn.protocol.h11 import H11Protocol
+from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
+from hypercorn.utils import parse_socket_addr
+
+# Bytes that are read from the socket at a time.
+READ_BYTES: Final = 65_536
+
+# Before a connection is closed, the bytes are read that have arrived while
+# other tasks ran.
+LAST_LOOK_SECONDS: Final = 0.001
+
+# Sent when the head of a request takes too long; nothing of it has run.
+HEAD_TIMEOUT_ANSWER: Final = (
+    b'HTTP/1.1 408 Request Timeout\r\n'
+    b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+)
+
+
+class Awaited(Enum):
+    """What a connection waits for."""
+
+    # The first byte of a request.
+    REQUEST = auto()
+
+    # The rest of the head of a request.
+    HEAD = auto()
+
+    # The answer to a request, and the rest of its body.
+    ANSWER = auto()
+
+
+class Waiting(NamedTuple):
+    """What a connection waits for, and since when."""
+
+    # What it waits for.
+    awaited: Awaited
+
+    # Start of the wait, in seconds on the local clock.
+    since: float
+
+
+class ConnectionLimits(Protocol):
+    """Time limits of connections, which may change at any time."""
+
+    # Whether the server has stopped: idle connections are closed.
+    stopped: bool
+
+    def read_idle_seconds(self) -> float:
+        """Return how long a connection may be idle."""
+
+    def read_head_seconds(self) -> float:
+        """Return how long the head of a request may take."""
+
+
+class HttpServices(NamedTuple):
+    """What all connections of a server share."""
+
+    # App that handles the requests.
+    app: AppWrapper
+
+    # Configuration of hypercorn.
+    config: Config
+
+    # State of the server as hypercorn's protocols know it.
+    context: WorkerContext
+
+    # State that the app has prepared at the start of the server.
+    lifespan_state: ConnectionState
+
+    # Time limits.
+    limits: ConnectionLimits
+
+
+class HttpConnection(TCPServer):
+    """Serves one connection; only its reader decides to close it when idle."""
+
+    def __init__(
+        self, services: HttpServices, stream: trio.SocketStream
+    ) -> None:
+        super().__init__(
+            services.app,
+            services.config,
+            services.context,
+            services.lifespan_state,
+            stream,  # type: ignore[arg-type]
+        )
+        self.socket = stream.socket
+        self.services = services
+        self.limits = services.limits
+        self.waiting = Waiting(Awaited.REQUEST, trio.current_time())
+
+        # Limits the present wait for bytes.
+        self.read_scope = trio.CancelScope()
+
+        # Ends the reader once the connection is closed.
+        self.reader_scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        """Serve requests until the connection is closed."""
+        try:
+            peer_name = self.socket.getpeername()
+        except OSError:
+            # The caller has reset the connection.
+            return
+        async with TaskGroup() as task_group:
+            self.protocol = ProtocolWrapper(
+                self.app,
+                self.config,
+                self.context,
+                task_group,
+                self.services.lifespan_state,
+                ssl=False,
+                client=parse_socket_addr(self.socket.family, peer_name),
+                server=parse_socket_addr(
+                    self.socket.family, self.socket.getsockname()
+                ),
+                send=self.protocol_send,
+            )
+            try:
+                await self.serve_requests()
+            finally:
+                await self._close()
+
+    async def serve_requests(self) -> None:
+        """Read requests until the connection ends; the app may go on."""
+        await self.protocol.initiate()
+        with self.reader_scope:
+            await self._read_data()
+        await self.protocol.handle(Closed())
+
+    async def protocol_send(self, event: Event) -> None:
+        """Carry out what the protocol wants of the connection."""
+        if isinstance(event, Updated):
+            awaited = Awaited.REQUEST if event.idle else Awaited.ANSWER
+            self.wait_for(awaited)
+            return
+        await super().protocol_send(event)
+        if isinstance(event, Closed):
+            self.reader_scope.cancel()
+
+    def wait_for(self, awaited: Awaited) -> None:
+        """Begin a wait and limit its time."""
+        self.waiting = Waiting(awaited, trio.current_time())
+        self.read_scope.deadline = self.find_deadline()
+
+    def find_deadline(self) -> float:
+        """Return when the present wait ends, on the local clock."""
+        awaited, since = self.waiting
+        if awaited is Awaited.ANSWER:
+            return inf
+        if awaited is Awaited.HEAD:
+            return since + self.limits.read_head_seconds()
+        if self.limits.stopped:
+            return -inf
+        return since + self.limits.read_idle_seconds()
+
+    def apply_stop(self) -> None:
+        """Close the connection if it is idle, as the server has stopped."""
+        self.read_scope.deadline = self.find_deadline()
+
+    def abort(self) -> None:
+        """Close the socket at once; a blocked send ends with an error."""
+        self.reader_scope.cancel()
+        self.socket.close()
+
+    async def _read_data(self) -> None:
+        while True:
+            try:
+                received = await self.receive()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not received:
+                return
+            await self.protocol.handle(RawData(received))
+            self.record_partial_head()
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; none if the connection ends."""
+        while True:
+            self.read_scope = trio.CancelScope(deadline=self.find_deadline())
+            with self.read_scope:
+                return bytes(await self.stream.receive_some(READ_BYTES))
+            with trio.move_on_after(LAST_LOOK_SECONDS):
+                return bytes(await self.stream.receive_some(READ_BYTES))
+            if self.find_deadline() <= trio.current_time():
+                await self.refuse_late_head()
+                return b''
+
+    async def refuse_late_head(self) -> None:
+        """Tell the caller that a request whose head is too late did not run."""
+        if self.waiting.awaited is Awaited.HEAD:
+            await self.protocol_send(RawData(HEAD_TIMEOUT_ANSWER))
+
+    def record_partial_head(self) -> None:
+        """Begin the time of a head of which only a part has arrived."""
+        protocol = self.protocol.protocol
+        if self.waiting.awaited is not Awaited.REQUEST:
+            return
+        if isinstance(protocol, H11Protocol):
+            unread, _ = protocol.connection.trailing_data
+            if unread:
+                self.wait_for(Awaited.HEAD)
+
+    async def _close(self) -> None:
+        with trio.CancelScope(shield=True):
+            await super()._close()
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -1,24 +1,41 @@
 """HTTP server on hypercorn, configured the same way for every program."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from functools import partial
 from typing import Any, Final, NamedTuple
 
 import trio
+from hypercorn.app_wrappers import ASGIWrapper
 from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.trio.lifespan import Lifespan
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState
 from quart_trio import QuartTrio
 
+from cranberryrelay.serving._http_connection import (
+    HttpConnection,
+    HttpServices,
+)
+
 # Upper bound for a request head; release notes set lower limits.
 HEAD_BYTES_LIMIT: Final = 65_536
 
 # Requests per connection, high enough to be no limit in practice.
 REQUESTS_LIMIT: Final = 1_000_000
 
+# Time for the head of a request where no release note limits it.
+DEFAULT_HEAD_SECONDS: Final = 10.0
+
 # ASGI send callable: passes a message from the app to the server.
 Send = Callable[[Any], Awaitable[None]]
 
 
+def read_default_head_seconds() -> float:
+    """Return the time for the head of a request, in seconds."""
+    return DEFAULT_HEAD_SECONDS
+
+
 class HttpServerOptions(NamedTuple):
     """Listening address and timeouts of an HTTP server."""
 
@@ -32,18 +49,9 @@
     # time a connection becomes idle.
     read_idle_seconds: Callable[[], float]
 
-
-class DynamicTimeoutConfig(Config):
-    """Hypercorn config whose idle timeout may change at runtime."""
-
-    def __init__(self, read_idle_seconds: Callable[[], float]) -> None:
-        super().__init__()
-        self.read_idle_seconds = read_idle_seconds
-
-    @property
-    def keep_alive_timeout(self) -> float:  # type: ignore[override]
-        """Return the current idle timeout in seconds."""
-        return self.read_idle_seconds()
+    # Returns the seconds that the head of a request may take from its first
+    # byte to its last.
+    read_head_seconds: Callable[[], float] = read_default_head_seconds
 
 
 async def serve_http(
@@ -55,16 +63,138 @@
 
     Running requests then get the grace period of the options to finish.
     """
-    config = DynamicTimeoutConfig(options.read_idle_seconds)
+    config = make_config(options)
+    wrapped = ASGIWrapper(app)
+    async with open_lifespan(wrapped, config) as state:
+        server = HttpServer(wrapped, config, options, state)
+        await server.run(shutdown_trigger)
+
+
+def make_config(options: HttpServerOptions) -> Config:
+    """Make the configuration of hypercorn."""
+    config = Config()
     config.bind = [options.address]
-    config.graceful_timeout = options.grace_seconds
     config.h11_max_incomplete_size = HEAD_BYTES_LIMIT
     config.keep_alive_max_requests = REQUESTS_LIMIT
     config.include_server_header = False
     config.include_date_header = False
     config.accesslog = None
     config.errorlog = None
-    await serve(app, config, shutdown_trigger=shutdown_trigger)
+    return config
+
+
+@asynccontextmanager
+async def open_lifespan(
+    app: AppWrapper, config: Config
+) -> AsyncIterator[ConnectionState]:
+    """Start the app, and end it when the context ends."""
+    state = ConnectionState({})
+    lifespan = Lifespan(app, config, state)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(lifespan.handle_lifespan)
+        await lifespan.wait_for_startup()
+        yield state
+        await lifespan.wait_for_shutdown()
+        nursery.cancel_scope.cancel()
+
+
+class HttpServer:
+    """Accepts connections, and closes all of them in a planned stop."""
+
+    def __init__(
+        self,
+        app: AppWrapper,
+        config: Config,
+        options: HttpServerOptions,
+        state: ConnectionState,
+    ) -> None:
+        self.config = config
+        self.options = options
+        self.stopped = False
+        self.connections: set[HttpConnection] = set()
+        self.all_closed = trio.Event()
+        self.services = HttpServices(
+            app, config, WorkerContext(None), state, self
+        )
+
+    def read_idle_seconds(self) -> float:
+        """Return how long a connection may be idle."""
+        return self.options.read_idle_seconds()
+
+    def read_head_seconds(self) -> float:
+        """Return how long the head of a request may take."""
+        return self.options.read_head_seconds()
+
+    async def run(
+        self, shutdown_trigger: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Serve until the trigger returns and the requests have ended."""
+        async with trio.open_nursery() as handlers:
+            try:
+                await self.accept(handlers, shutdown_trigger)
+                await self.stop()
+            finally:
+                self.abort()
+            handlers.cancel_scope.cancel()
+
+    async def accept(
+        self,
+        handlers: trio.Nursery,
+        shutdown_trigger: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Accept connections until the trigger returns."""
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                partial(
+                    trio.serve_listeners,
+                    self.handle_stream,
+                    self.open_listeners(),
+                    handler_nursery=handlers,
+                )
+            )
+            await shutdown_trigger()
+            accepting.cancel_scope.cancel()
+
+    def open_listeners(self) -> list[trio.SocketListener]:
+        """Open the sockets on which connections are accepted."""
+        sockets = self.config.create_sockets().insecure_sockets
+        for socket in sockets:
+            socket.listen(self.config.backlog)
+        return [
+            trio.SocketListener(trio.socket.from_stdlib_socket(socket))
+            for socket in sockets
+        ]
+
+    async def handle_stream(self, stream: trio.SocketStream) -> None:
+        """Serve an accepted connection to its end."""
+        connection = HttpConnection(self.services, stream)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+            if not self.connections:
+                self.all_closed.set()
+
+    async def stop(self) -> None:
+        """Close idle connections and wait until the others have ended."""
+        self.stopped = True
+        self.all_closed = trio.Event()
+        await self.services.context.terminated.set()
+        if not self.connections:
+            return
+        for connection in self.connections:
+            connection.apply_stop()
+        with trio.move_on_after(self.options.grace_seconds):
+            await self.all_closed.wait()
+
+    def abort(self) -> None:
+        """Close all connections at once.
+
+        A caller that does not read would hold up the end of the server.
+        """
+        for connection in self.connections:
+            connection.abort()
 
 
 async def send_shielded(send: Send, message: Any) -> None:
