Soak: reuse connections at the idle limit and call late in stops

Each note now sets another idle limit (0.6 to 1.6 s, shorter and longer in turn). A new fault silences an upstream for 0.8 to 1.3 s, by SIGSTOP or by its link, and counts as no disturbance. A run keeps evidence.json, all that its checks read.

--- a/cranberryrelay/soak/_callers.py
+++ b/cranberryrelay/soak/_callers.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
 import httpx
@@ -24,6 +24,7 @@
 # Time beyond a route's limit after which a caller aborts a request.
 CALLER_MARGIN_SECONDS: Final = 6.0
 CONNECTIONS_LIMIT: Final = 200
+BODY_PART: Final = bytes(1000)
 KINDS: Final = tuple(RequestKind)
 WEIGHTS: Final = (4, 3, 3, 3, 2)
 _MILLISECONDS: Final = 1000
@@ -46,6 +47,27 @@
     # Newest version of the note that the store has acknowledged.
     version: int
 
+    # True from SIGTERM to the exit of the instance.
+    stopping: bool = False
+
+
+class SplitBody:
+    """A body that is written after its head, in two parts."""
+
+    def __init__(self, pause_seconds: float, timers: TimerService) -> None:
+        self.pause_seconds = pause_seconds
+        self.timers = timers
+
+        # Time of day at which the last byte had been written.
+        self.written_at = float('inf')
+
+    async def write(self) -> AsyncIterator[bytes]:
+        """Yield the body; a pause precedes its second part."""
+        yield BODY_PART
+        await self.timers.pause(self.pause_seconds)
+        yield BODY_PART
+        self.written_at = self.timers.utc()
+
 
 class CallerPool:
     """Callers of all instances, which keep and reuse their connections."""
@@ -76,9 +98,13 @@
                 )
 
     async def send(
-        self, client: httpx.AsyncClient, target: Target, kind: RequestKind
+        self,
+        client: httpx.AsyncClient,
+        target: Target,
+        kind: RequestKind,
+        body: SplitBody | None = None,
     ) -> Outcome:
-        """Send one request and record its outcome."""
+        """Send one request, without a body by default; record its outcome."""
         request_id = f's{self.seed}-{next(self.numbers):05d}'
         version = target.version if kind is RequestKind.PROBE else 0
         started = Outcome(
@@ -95,8 +121,10 @@
             error='',
             connect_failed=False,
         )
-        outcome = await _send_request(client, started)
+        outcome = await _send_request(client, started, body)
         outcome = outcome._replace(ended_at=self.timers.utc())
+        if body:
+            outcome = outcome._replace(written_at=body.written_at)
         self.outcomes.append(outcome)
         return outcome
 
@@ -111,24 +139,34 @@
     )
 
 
-async def _send_request(client: httpx.AsyncClient, sent: Outcome) -> Outcome:
+async def _send_request(
+    client: httpx.AsyncClient, sent: Outcome, body: SplitBody | None
+) -> Outcome:
     headers = make_headers(sent)
+    parts = None
+    if body:
+        headers['Content-Length'] = str(2 * len(BODY_PART))
+        parts = body.write()
     method = 'GET' if sent.kind is RequestKind.READ else 'POST'
     path = f'/{sent.kind}/{sent.request_id}'
     if sent.version:
         path = f'/{sent.kind}-{sent.version}/{sent.request_id}'
-    body = bytearray()
+    received = bytearray()
     status: int | None = None
     try:
-        async with client.stream(method, path, headers=headers) as response:
+        async with client.stream(
+            method, path, headers=headers, content=parts
+        ) as response:
             status = response.status_code
             async for chunk in response.aiter_bytes():
-                body.extend(chunk)
+                received.extend(chunk)
     except _CONNECT_ERRORS as connect_error:
         return sent._replace(error=repr(connect_error), connect_failed=True)
     except httpx.HTTPError as error:
-        return sent._replace(status=status, body=bytes(body), error=repr(error))
-    return sent._replace(status=status, body=bytes(body), complete=True)
+        return sent._replace(
+            status=status, body=bytes(received), error=repr(error)
+        )
+    return sent._replace(status=status, body=bytes(received), complete=True)
 
 
 def make_headers(sent: Outcome) -> dict[str, str]:
--- a/cranberryrelay/soak/_evidence.py
+++ b/cranberryrelay/soak/_evidence.py
@@ -62,6 +62,14 @@
     # True if no connection could be opened, so that nothing was sent.
     connect_failed: bool
 
+    # When the last byte of the request had been written; infinite if it was
+    # not written or is not known.
+    written_at: float = float('inf')
+
+    def is_unanswered(self) -> bool:
+        """Return whether the connection ended without a complete answer."""
+        return not self.complete and not self.connect_failed
+
 
 class Disturbance(NamedTuple):
     """A period in which a part was disturbed; times of day in seconds."""
@@ -73,9 +81,13 @@
     begun_at: float
     ended_at: float
 
-    # True for planned work, such as a stop with SIGTERM.
+    # True for what excuses nothing: planned work, such as a stop with SIGTERM,
+    # and silences.
     planned: bool
 
+    # True if a sound upstream was silent for about a second.
+    silence: bool = False
+
 
 class NoteSent(NamedTuple):
     """A version of the note that was written to the store."""
--- a/cranberryrelay/soak/_faults.py
+++ b/cranberryrelay/soak/_faults.py
@@ -28,6 +28,7 @@
     ALL_INSTANCES_KILL = 'all_instances_kill'
     UPSTREAM_KILL = 'upstream_kill'
     UPSTREAM_PAUSE = 'upstream_pause'
+    UPSTREAM_SILENCE = 'upstream_silence'
     UPSTREAM_DRAIN = 'upstream_drain'
     UPSTREAM_LINK = 'upstream_link'
     UPSTREAM_RESET = 'upstream_reset'
@@ -47,6 +48,7 @@
     (FaultKind.ALL_INSTANCES_KILL, 0.4),
     (FaultKind.UPSTREAM_KILL, 4),
     (FaultKind.UPSTREAM_PAUSE, 2),
+    (FaultKind.UPSTREAM_SILENCE, 4),
     (FaultKind.UPSTREAM_DRAIN, 2),
     (FaultKind.UPSTREAM_LINK, 3),
     (FaultKind.UPSTREAM_RESET, 3),
@@ -68,6 +70,10 @@
 )
 
 
+# Kinds that excuse nothing; a sound upstream may be silent for about a second.
+EXCUSELESS_KINDS: Final = PLANNED_KINDS | {FaultKind.UPSTREAM_SILENCE}
+
+
 class ScheduledFault(NamedTuple):
     """A fault and the time at which it is injected."""
 
--- a/cranberryrelay/soak/_injector.py
+++ b/cranberryrelay/soak/_injector.py
@@ -10,7 +10,11 @@
 
 from cranberryrelay.soak._child import ChildProcess
 from cranberryrelay.soak._evidence import Disturbance, LeavingPeriod
-from cranberryrelay.soak._faults import PLANNED_KINDS, FaultKind, ScheduledFault
+from cranberryrelay.soak._faults import (
+    EXCUSELESS_KINDS,
+    FaultKind,
+    ScheduledFault,
+)
 from cranberryrelay.soak._layout import GRACE_SECONDS
 from cranberryrelay.soak._proxy import LinkState, LoopbackProxy
 from cranberryrelay.soak._site import Site, wait_port
@@ -27,6 +31,10 @@
 MAX_NOTES: Final = 5
 NOTE_INTERVAL_SECONDS: Final = 0.15
 
+# Bounds of a silence of a sound upstream.
+MIN_SILENCE_SECONDS: Final = 0.8
+MAX_SILENCE_SECONDS: Final = 1.3
+
 # How long the entry of a drained upstream stays marked as leaving.
 LEAVING_SECONDS: Final = 4.0
 
@@ -57,7 +65,7 @@
             return
         action = _ACTIONS[fault.kind]
         subjects = self.find_subjects(fault)
-        with self.record_disturbance(subjects, fault.kind in PLANNED_KINDS):
+        with self.record_disturbance(subjects, fault.kind):
             await action(self, fault)
 
     def find_subjects(self, fault: ScheduledFault) -> tuple[str, ...]:
@@ -72,15 +80,17 @@
 
     @contextmanager
     def record_disturbance(
-        self, subjects: tuple[str, ...], planned: bool
+        self, subjects: tuple[str, ...], kind: FaultKind
     ) -> Iterator[None]:
         """Record the time for which the parts are disturbed.
 
         The end is infinite while the disturbance lasts.
         """
         begun_at = self.site.timers.utc()
+        planned = kind in EXCUSELESS_KINDS
+        silence = kind is FaultKind.UPSTREAM_SILENCE
         records = [
-            Disturbance(subject, begun_at, float('inf'), planned)
+            Disturbance(subject, begun_at, float('inf'), planned, silence)
             for subject in subjects
         ]
         self.site.disturbances.extend(records)
@@ -158,6 +168,30 @@
             await self.site.timers.pause(fault.duration_seconds)
             child.send_signal(signal.SIGCONT)
 
+    async def silence_upstream(self, fault: ScheduledFault) -> None:
+        """Silence a sound upstream for about a second.
+
+        The draw selects whether it is suspended or its link is silent.
+        """
+        seconds = MIN_SILENCE_SECONDS + fault.draw * (
+            MAX_SILENCE_SECONDS - MIN_SILENCE_SECONDS
+        )
+        silenced = fault._replace(duration_seconds=seconds)
+        if int(fault.draw * len(FaultKind)) % 2:
+            await self.pause_process(silenced)
+        else:
+            with self.mark_busy(fault.target):
+                await self.silence_link(silenced)
+
+    async def silence_link(self, fault: ScheduledFault) -> None:
+        """Hold back the bytes of a link for the duration of the fault."""
+        link = self.find_link(fault)
+        if link.state is not LinkState.SOUND:
+            return
+        link.change_state(LinkState.SILENT)
+        await self.site.timers.pause(fault.duration_seconds)
+        link.change_state(LinkState.SOUND)
+
     async def reload_instance(self, fault: ScheduledFault) -> None:
         """Send SIGHUP, on which an instance reloads its settings."""
         self.site.instances[fault.target].send_signal(signal.SIGHUP)
@@ -235,6 +269,7 @@
         FaultKind.ALL_INSTANCES_KILL: Injector.kill_all_instances,
         FaultKind.UPSTREAM_KILL: Injector.kill_upstream,
         FaultKind.UPSTREAM_PAUSE: Injector.pause_process,
+        FaultKind.UPSTREAM_SILENCE: Injector.silence_upstream,
         FaultKind.UPSTREAM_DRAIN: Injector.drain_upstream,
         FaultKind.UPSTREAM_LINK: Injector.disturb_link,
         FaultKind.UPSTREAM_RESET: Injector.reset_link,
--- a/cranberryrelay/soak/_layout.py
+++ b/cranberryrelay/soak/_layout.py
@@ -23,6 +23,12 @@
 GRACE_SECONDS: Final = 8.0
 LEASE_SECONDS: Final = 3.0
 
+# Idle limits that the notes set in turn: shorter and longer ones alternate.
+IDLE_SECONDS: Final = (1.2, 0.6, 1.6, 0.9)
+
+# Step between versions of the note: versions of the platform have gaps too.
+VERSION_STEP: Final = 3
+
 # Time limits of the routes.
 CALL_SECONDS: Final = 3.0
 STREAM_SECONDS: Final = 5.0
@@ -234,6 +240,11 @@
     return entry
 
 
+def find_idle_seconds(version: int) -> float:
+    """Return the idle limit of a version of the note, in seconds."""
+    return IDLE_SECONDS[version // VERSION_STEP % len(IDLE_SECONDS)]
+
+
 def make_note(version: int) -> dict[str, Any]:
     """Make a configuration; its only probe route is that of its own version."""
     rows = (
@@ -260,8 +271,10 @@
         for name, kind, service in rows
     ]
     engine = {'slots': 64, 'kv_capacity_tokens': 400_000}
+    idle_seconds = find_idle_seconds(version)
     return {
         'version': version,
+        'limits': {'idle_timeout_ms': _MILLISECONDS * idle_seconds},
         'routes': routes,
         'services': [
             {'name': MODEL_SERVICE, 'engine': engine},
--- a/cranberryrelay/soak/_run.py
+++ b/cranberryrelay/soak/_run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+import msgspec
 import trio
 from result import Result
 
@@ -22,6 +23,7 @@
     RequestKind,
 )
 from cranberryrelay.soak._faults import ScheduledFault, schedule_faults
+from cranberryrelay.soak._idle_callers import IdleLimitCallers, call_in_stops
 from cranberryrelay.soak._injector import EXIT_MARGIN_SECONDS, Injector
 from cranberryrelay.soak._layout import (
     GRACE_SECONDS,
@@ -40,6 +42,9 @@
 # Number of recovery requests that are looked up in the account, at most.
 MAX_EXPLANATIONS: Final = 8
 
+# File in the folder of a run with all that the checks read.
+EVIDENCE_FILE: Final = 'evidence.json'
+
 # Interval of the check for stalls of the machine, and the delay of a task that
 # counts as a stall: a third of the margin that the checks allow.
 STALL_POLL_SECONDS: Final = 0.05
@@ -69,6 +74,10 @@
     # at first and each of them after every other start; '' for none.
     other_build: str = ''
 
+    # Connections of each instance that callers reuse at about the idle limit
+    # at the same time.
+    reused_connections: int = 24
+
     # Faults to inject; drawn from the seed if empty.
     faults: tuple[ScheduledFault, ...] = ()
 
@@ -108,6 +117,7 @@
             ) as site,
         ):
             evidence = await _collect_evidence(plan, site, faults, timers)
+    (folder / EVIDENCE_FILE).write_bytes(msgspec.json.encode(evidence))
     answered = sum(one.status == OK for one in evidence.outcomes)
     return SoakReport(
         plan=plan,
@@ -132,12 +142,15 @@
     timers: TimerService,
 ) -> Evidence:
     pool = CallerPool(plan.seed, timers)
+    idle_callers = IdleLimitCallers(pool, plan.reused_connections)
     async with trio.open_nursery() as watchers:
         watchers.start_soon(detect_stalls, site, timers)
         async with trio.open_nursery() as callers:
             for instance in site.layout.instances:
                 find_target = partial(_find_target, site, instance)
                 callers.start_soon(pool.call, instance, find_target)
+                callers.start_soon(idle_callers.call, instance, find_target)
+                callers.start_soon(call_in_stops, pool, find_target)
             await Injector(site).run(faults)
             await timers.pause(RECOVERY_SECONDS)
             pool.stopped = True
@@ -174,8 +187,9 @@
 
 
 def _find_target(site: Site, instance: InstanceConfig) -> Target:
-    start_count = site.instances[instance.name].start_count
-    return Target(instance, start_count, site.acked_version())
+    child = site.instances[instance.name]
+    stopping = child.last_signal is signal.SIGTERM and child.is_running()
+    return Target(instance, child.start_count, site.acked_version(), stopping)
 
 
 async def _send_recovery_requests(
--- a/cranberryrelay/soak/_site.py
+++ b/cranberryrelay/soak/_site.py
@@ -22,6 +22,7 @@
 from cranberryrelay.soak._child import ChildProcess
 from cranberryrelay.soak._evidence import Disturbance, LeavingPeriod, NoteSent
 from cranberryrelay.soak._layout import (
+    VERSION_STEP,
     InstanceConfig,
     Layout,
     UpstreamConfig,
@@ -38,9 +39,6 @@
 RETRY_SECONDS: Final = 0.2
 RELAY_COMMAND: Final = ('cranberryrelay.relay_program', 'run')
 STANDINS_MODULE: Final = 'cranberryrelay.standins.target_program'
-
-# Step between versions of the note: versions of the platform have gaps too.
-VERSION_STEP: Final = 3
 _BOOT_VARIABLE: Final = 'CRANBERRYRELAY_BOOT'
 
 
