Soak: find an instance that cuts the answers of reused connections

The variant of broken_relay answers a request that reuses a connection after more than 0.5 s with a head and no body, so that its connection closes although its upstream ran it. It is broken at the ASGI app and not at the HTTP server, so it stays when the server changes. Three notes in series, 12 reused connections an instance; the other runs reuse 4.

--- a/cranberryrelay/soak/tests/broken_relay.py
+++ b/cranberryrelay/soak/tests/broken_relay.py
@@ -8,11 +8,17 @@
 from types import MappingProxyType
 from typing import Any, Final
 
+import trio
 from result import Result
 
 from cranberryrelay.codes import Failure
 from cranberryrelay.relay import _model_path, _plain_path, _state
 from cranberryrelay.relay_program import main
+from cranberryrelay.serving import ShieldedSendApp
+
+# Idle time from which the reuse of a connection counts as late; callers other
+# than those at the idle limit use their connections again sooner.
+LATE_REUSE_SECONDS: Final = 0.5
 
 
 def patch_method(owner: type, name: str, method: Any) -> None:
@@ -65,12 +71,35 @@
     patch_method(_state.RelayState, 'apply_upstream', apply_as_staying)
 
 
+def cut_reused_connections() -> None:
+    """Cut the answer of a request that reuses a connection after a while."""
+    call = ShieldedSendApp.__call__
+    idle_from: dict[Any, float] = {}
+
+    async def call_and_cut(
+        self: Any, scope: Any, receive: Any, send: Any
+    ) -> None:
+        now = trio.current_time()
+        caller = scope.get('client')
+        late = now - idle_from.get(caller, now) > LATE_REUSE_SECONDS
+
+        async def send_or_cut(message: Any) -> None:
+            if not late or message['type'] != 'http.response.body':
+                await send(message)
+
+        await call(self, scope, receive, send_or_cut)
+        idle_from[caller] = trio.current_time()
+
+    patch_method(ShieldedSendApp, '__call__', call_and_cut)
+
+
 DEFECTS: Final = MappingProxyType(
     {
         'repeats': retry_every_call,
         'notes': ignore_newer_notes,
         'events': drop_third_event,
         'leaving': ignore_leaving_state,
+        'reuses': cut_reused_connections,
     }
 )
 
--- a/cranberryrelay/soak/tests/test_soak.py
+++ b/cranberryrelay/soak/tests/test_soak.py
@@ -26,6 +26,10 @@
     for idx in range(8)
     for plain in (4, 5)
 )
+# Shorter and longer idle limits in turn.
+SERIES = tuple(
+    ScheduledFault(1 + 2 * idx, 0, FaultKind.NOTES, '', 0) for idx in range(3)
+)
 NOTE = (ScheduledFault(1, 0, FaultKind.NOTES, '', 0),)
 
 
@@ -36,12 +40,16 @@
     faults: tuple[ScheduledFault, ...]
     promise: str
 
+    # Connections of each instance that are reused at about the idle limit.
+    connections: int = 4
+
 
 CASES = (
     Case('', (), ''),
     Case('repeats', RESETS, 'run once'),
     Case('notes', NOTE, 'notes in force'),
     Case('events', NOTE, 'own and whole answers'),
+    Case('reuses', SERIES, 'answered', connections=12),
 )
 
 
@@ -77,7 +85,14 @@
     reports: dict[str, SoakReport] = {}
 
     async def run_case(case: Case, folder: Path) -> None:
-        plan = SoakPlan(SEED, SECONDS, 3, 4, faults=case.faults)
+        plan = SoakPlan(
+            SEED,
+            SECONDS,
+            3,
+            4,
+            faults=case.faults,
+            reused_connections=case.connections,
+        )
         if case.defect:
             plan = plan._replace(
                 relay_command=(BROKEN_MODULE, case.defect, 'run')
