Soak: check at the end of a run that all instances apply the newest note

Cause: a stall was taken for a disturbance of unknown effect. It can put a note off by its own duration, and not for ever.

Change: the probes that are sent after the recovery are judged as well. They are due two seconds after the acknowledgement, plus the check's margin and the duration of all stalls since. The check of the probes before is as it was.

--- a/cranberryrelay/soak/_promises.py
+++ b/cranberryrelay/soak/_promises.py
@@ -6,6 +6,7 @@
 
 from cranberryrelay.soak._evidence import (
     AT_MOST_ONCE_KINDS,
+    MACHINE,
     STREAM_KINDS,
     UNDISTURBED_SECONDS,
     Disturbance,
@@ -137,6 +138,29 @@
             )
 
 
+def check_notes_at_end(evidence: Evidence) -> Iterator[str]:
+    """Check that all instances have applied the newest note at the end.
+
+    Each stall of the machine may have put that off by its own duration; it does
+    not excuse an instance that never applies the note.
+    """
+    for outcome in evidence.recovery_outcomes:
+        note = _find_note(evidence, outcome.version)
+        if note is None or outcome.status != NOT_FOUND:
+            continue
+        stalled = sum(
+            one.ended_at - one.begun_at
+            for one in evidence.disturbances
+            if one.subject == MACHINE and one.ended_at >= note.acked_at
+        )
+        due = note.acked_at + CONFIG_APPLY_SECONDS + MARGIN_SECONDS + stalled
+        if outcome.sent_at > due:
+            yield (
+                f'{outcome.instance} has not applied note {note.version} '
+                f'at the end of the run, {stalled:.2f} s of stalls'
+            )
+
+
 def check_no_rollback(evidence: Evidence) -> Iterator[str]:
     """Check that no process returns to an older note after a newer one."""
     newest_versions: dict[tuple[str, int], tuple[int, float]] = {}
@@ -324,6 +348,7 @@
     ('own and whole answers', check_answers),
     ('routes stay', check_routes),
     ('notes in force', check_notes),
+    ('notes in force', check_notes_at_end),
     ('notes never return', check_no_rollback),
     ('leaving upstreams', check_leaving_upstreams),
     ('time limits', check_time_limits),
--- a/cranberryrelay/soak/tests/test_promises.py
+++ b/cranberryrelay/soak/tests/test_promises.py
@@ -249,6 +249,22 @@
         ),
         'own and whole answers, answered',
     ),
+    Case(
+        'note not applied at the end, beside a stall of the machine',
+        make_evidence(
+            recovery_outcomes=(PROBE._replace(status=404), *(CHARGE,) * 20),
+            disturbances=make_disturbances('machine', SENT_AT - 1, False),
+        ),
+        'notes in force',
+    ),
+    Case(
+        'note not applied at the end, as the machine stood still since',
+        make_evidence(
+            recovery_outcomes=(PROBE._replace(status=404), *(CHARGE,) * 20),
+            disturbances=(Disturbance('machine', 51, SENT_AT, False),),
+        ),
+        '',
+    ),
     Case(
         'route missing',
         make_evidence(CHARGE._replace(status=404)),
