Drop a message of a peer that cannot be decoded, handled or sent

Callers: a nested value in a message, an address in a greeting or in a registration that is none, or any unexpected error while a message is handled ended the process, with all its running requests.

Cause: nesting raises a RecursionError, which the codec did not expect; values that msgpack has no form for raise where heartbeats and repairs are sent; ZeroMQ raises for an address without a valid port; and the task that receives messages ended with the first error of any handler. ZeroMQ takes the port 99999 silently.

Change: such frames are malformed and dropped; a message that cannot be sent is dropped with one log line for each reason; an address must be an IP address and a port; an unexpected error of a handler is logged with its traceback, the code 5202 and counted, and the next message is handled.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -86,6 +86,7 @@
     ORDER_FENCED = 5101
     LEASE_LOST = 5102
     FRAME_MALFORMED = 5201
+    MESSAGE_NOT_HANDLED = 5202
     ACCOUNT_GAP = 5301
     REQUEST_ID_UNKNOWN = 5302
 
@@ -380,6 +381,10 @@
         ResultCode.FRAME_MALFORMED: CodeEntry(
             'a frame from a peer can not be decoded', HTTPStatus.BAD_REQUEST
         ),
+        ResultCode.MESSAGE_NOT_HANDLED: CodeEntry(
+            'a message of a peer raised an unexpected error',
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+        ),
         ResultCode.ACCOUNT_GAP: CodeEntry(
             'the account has a gap or a changed segment',
             HTTPStatus.INTERNAL_SERVER_ERROR,
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -5,6 +5,7 @@
 from functools import singledispatch
 from typing import Any, Final
 
+from cranberryrelay.codes import ResultCode
 from cranberryrelay.relay._anti_entropy import REPAIR_DELAY_SECONDS, AntiEntropy
 from cranberryrelay.relay._catalogue import Role
 from cranberryrelay.relay._crash_suspects import SuspectNews
@@ -139,7 +140,10 @@
     async def receive(self) -> None:
         """Handle messages until cancelled."""
         async for sender, message in self.network.receive():
-            self.handle_message(sender, message)
+            try:
+                self.handle_message(sender, message)
+            except Exception:
+                record_unhandled(self.state, sender, message)
 
     def handle_message(self, sender: str, message: Any) -> None:
         """Handle one message of a peer."""
@@ -438,6 +442,17 @@
             self.state.live_instances = live
 
 
+def record_unhandled(state: RelayState, sender: str, message: Any) -> None:
+    """Count and log a message that raised an unexpected error."""
+    code = ResultCode.MESSAGE_NOT_HANDLED
+    state.telemetry.count_failure(code)
+    kind = type(message).__name__
+    _LOG.exception(
+        'message not handled',
+        extra={'peer': sender, 'kind': kind, 'code': code.value},
+    )
+
+
 def take_peer_update(state: RelayState, now: float) -> PeerUpdate:
     """Return what peers are told now, and clear it.
 
--- a/cranberryrelay/wire/_codec.py
+++ b/cranberryrelay/wire/_codec.py
@@ -4,7 +4,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Any, Generic, NamedTuple, TypeVar
+from typing import Any, Final, Generic, NamedTuple, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -14,6 +14,19 @@
 
 Message = TypeVar('Message')
 
+# Raised for integers of more than 64 bits, invalid text, unknown types and deep
+# nesting.
+ENCODING_ERRORS: Final = (
+    OverflowError,
+    UnicodeError,
+    TypeError,
+    RecursionError,
+    msgspec.MsgspecError,
+)
+
+# Nesting in a message of unknown form takes stack.
+_DECODING_ERRORS: Final = (msgspec.MsgspecError, RecursionError)
+
 
 class DecodedMessage(NamedTuple, Generic[Message]):
     """A message, and how its form differed from the one known here."""
@@ -32,7 +45,10 @@
     types: Mapping[str, type[Message]]
 
     def encode(self, message: Message) -> list[bytes]:
-        """Encode a message as a kind frame and a body frame."""
+        """Encode a message as a kind frame and a body frame.
+
+        Raises one of ``ENCODING_ERRORS`` for a value that has no form.
+        """
         kind = type(message).__name__
         return [kind.encode(), msgspec.msgpack.encode(message)]
 
@@ -59,7 +75,7 @@
             return Err(fail(ResultCode.FRAME_MALFORMED, 'unknown message kind'))
         try:
             message: Any = msgspec.msgpack.decode(frames[1], type=message_type)
-        except msgspec.MsgspecError:
+        except _DECODING_ERRORS:
             return _decode_fitted(frames[1], message_type)
         return Ok(DecodedMessage(message))
 
@@ -70,7 +86,7 @@
     differences: list[str] = []
     try:
         content = msgspec.msgpack.decode(body)
-    except msgspec.MsgspecError as error:
+    except _DECODING_ERRORS as error:
         return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
     # Looking at each record inside a message takes most of the time.
     for fit in (fit_outermost, fit_to_type):
@@ -78,7 +94,7 @@
         fitted = fit(content, message_type, differences.append)
         try:
             message: Any = msgspec.convert(fitted, message_type)
-        except msgspec.MsgspecError as error:
+        except _DECODING_ERRORS as error:
             failure = fail(ResultCode.FRAME_MALFORMED, str(error))
         else:
             passed_over = ', '.join(dict.fromkeys(differences))
--- a/cranberryrelay/wire/_network.py
+++ b/cranberryrelay/wire/_network.py
@@ -14,7 +14,8 @@
 import trio
 import zmq
 
-from cranberryrelay.wire._codec import Codec
+from cranberryrelay.wire._addresses import is_address
+from cranberryrelay.wire._codec import ENCODING_ERRORS, Codec
 from cranberryrelay.wire._sockets import (
     CurveKeys,
     FrameSocket,
@@ -56,6 +57,9 @@
 
         # Messages of peers of another build, by peer and difference.
         self.passed_over: Counter[tuple[str, str]] = Counter()
+
+        # Messages that could not be sent, by reason.
+        self.unsendable: Counter[str] = Counter()
         self.messages_sent = 0
         self.bytes_sent = 0
         self.blocked_peers: frozenset[str] = frozenset()
@@ -66,11 +70,12 @@
         """Send without blocking; return False if the message is dropped."""
         if peer in self.blocked_peers:
             return False
-        frames = [
-            sender.encode(),
-            peer.encode(),
-            *self.codec.encode(message),
-        ]
+        try:
+            encoded = self.codec.encode(message)
+        except ENCODING_ERRORS as error:
+            self._count_unsendable(f'{type(message).__name__}: {error!r}')
+            return False
+        frames = [sender.encode(), peer.encode(), *encoded]
         self.messages_sent += 1
         self.bytes_sent += sum(len(frame) for frame in frames)
         if peer in self.inbound_peers:
@@ -80,6 +85,9 @@
         instance = peer.partition('/')[0]
         if address is None or instance == self.name:
             return False
+        if not is_address(address):
+            self._count_unsendable(f'invalid address {address!r} of {peer!r}')
+            return False
         return self._dealer_to(address).send_now(frames)
 
     def close_unused(self) -> None:
@@ -153,6 +161,14 @@
             )
         self.passed_over[counted] += 1
 
+    def _count_unsendable(self, reason: str) -> None:
+        """Count a message that cannot be sent; log each reason once."""
+        if reason not in self.unsendable:
+            if len(self.unsendable) >= PASSED_OVER_LIMIT:
+                return
+            _LOG.error('message not sent', extra={'detail': reason})
+        self.unsendable[reason] += 1
+
     def _count_malformed(self, detail: str) -> None:
         self.malformed += 1
         _LOG.warning('malformed frame dropped', extra={'detail': detail})
