Pass over odd records of the instances' own kinds

Callers: a stream record with text outside ASCII ended each process that started, a registration with a port of 99999 was greeted at another port or ended the process, and roles stayed as they were without a word in the log when the lease record was malformed.

Cause: base64 raises a plain ValueError for such text, where only binascii.Error was expected; addresses of registrations were not looked at; the lease's failure went to a caller that only tries again; the account's revisions are names of members, which may be any text.

Change: such records are passed over with a log line each. A malformed lease is still not taken over, on purpose: the last fencing token is not known, and orders with a lower one would break the order of holders where engines check none.

--- a/cranberryrelay/relay/_account_reader.py
+++ b/cranberryrelay/relay/_account_reader.py
@@ -1,6 +1,7 @@
 """Looks up in the account which note revision was in force for a request."""
 
-from typing import Any, NamedTuple
+import re
+from typing import Any, Final, NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
@@ -10,6 +11,8 @@
 from cranberryrelay.relay._account_writer import ACCOUNT_KIND, digest_segment
 from cranberryrelay.relay._records import KindRecord, RecordStore
 
+_REVISION: Final = re.compile('[0-9]{1,19}')
+
 
 class AccountLookup(NamedTuple):
     """Result of looking up a request in the account."""
@@ -93,7 +96,7 @@
 
 def _find_revision(segment: SegmentFields, request_id: str) -> int | None:
     for revision, requests in segment['requests'].items():
-        if request_id in requests:
+        if request_id in requests and _REVISION.fullmatch(revision):
             return int(revision)
     return None
 
--- a/cranberryrelay/relay/_order_lease.py
+++ b/cranberryrelay/relay/_order_lease.py
@@ -20,7 +20,11 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
-from cranberryrelay.relay._records import KindRecord, RecordStore
+from cranberryrelay.relay._records import (
+    STORE_ORIGIN,
+    KindRecord,
+    RecordStore,
+)
 from cranberryrelay.timing import TimerService
 
 LEASE_KIND: Final = 'relay-leases'
@@ -78,6 +82,7 @@
         )
         self.term: LeaseTerm | None = None
         self.verified_at = float('-inf')
+        self.malformed_at = STORE_ORIGIN
 
     async def acquire(self) -> Result[int, Failure]:
         """Acquire or verify the lease and return its fencing token.
@@ -111,6 +116,16 @@
         """Drop the term after an engine reported a higher fencing token."""
         self.term = None
 
+    def log_malformed(self, record: KindRecord) -> None:
+        """Log a malformed record once each time that it was written.
+
+        It is not taken over, as the last fencing token is not known.
+        """
+        if record.position > self.malformed_at:
+            self.malformed_at = record.position
+            extra = {'record': record.name, 'position': record.position}
+            _LOG.error('malformed lease record: no orders', extra=extra)
+
     def _is_own(self, record: KindRecord) -> bool:
         fields = _decode_record(record.value)
         own = self.term
@@ -132,6 +147,7 @@
         fields = _decode_record(record.value)
         if fields is None:
             detail = f'the lease record {LEASE_NAME} is malformed'
+            self.log_malformed(record)
             return Err(fail(ResultCode.FRAME_MALFORMED, detail))
         era = record.position.era
         token = max(fields[1], era * TOKENS_PER_ERA) + 1
--- a/cranberryrelay/relay/_registration.py
+++ b/cranberryrelay/relay/_registration.py
@@ -17,6 +17,7 @@
     KindRecord,
     RecordStore,
 )
+from cranberryrelay.wire import is_address
 
 INSTANCE_KIND: Final = 'relay-instances'
 REGISTER_RETRY_SECONDS: Final = 0.5
@@ -51,7 +52,7 @@
         protocol.send_hello(address, address)
     await _create_record(store, protocol)
     listed = await _list_instances(store, protocol)
-    locations = dict(_read_locations(listed.records))
+    locations = dict(read_locations(listed.records))
     send_hello_to_listed(protocol, locations)
     protocol.state.start_check.expect_peers(
         frozenset(locations) - {protocol.name}
@@ -119,17 +120,23 @@
         )
 
 
-def _read_locations(
+def read_locations(
     records: tuple[KindRecord, ...],
 ) -> Iterator[tuple[str, InstanceLocation]]:
     """Yield the instances listed in the store; skip invalid records."""
     for record in records:
+        detail = ''
         try:
             fields = msgspec.convert(record.value, LocationFields)
         except msgspec.ValidationError as error:
+            detail = str(error)
+        else:
+            if not is_address(fields['address']):
+                detail = f'invalid address {fields["address"]!r}'
+        if detail:
             _LOG.warning(
                 'invalid instance record',
-                extra={'record': record.name, 'detail': str(error)},
+                extra={'record': record.name, 'detail': detail},
             )
-            continue
-        yield record.name, InstanceLocation(**fields)
+        else:
+            yield record.name, InstanceLocation(**fields)
--- a/cranberryrelay/relay/_stream_records.py
+++ b/cranberryrelay/relay/_stream_records.py
@@ -7,7 +7,6 @@
 
 import logging
 from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
 from collections.abc import Iterator
 from typing import Any, Final, TypedDict
 
@@ -176,7 +175,7 @@
         fields = msgspec.convert(value, StreamRecordFields)
         for text in fields['streams'].values():
             _unpack(text)
-    except (msgspec.ValidationError, Base64Error) as error:
+    except (msgspec.ValidationError, ValueError) as error:
         _LOG.warning(
             'invalid stream record',
             extra={'service': record.name, 'detail': str(error)},
