Tell an instance that starts how long ago a version was seen

Callers saw nothing yet; found by a test. After a software version had left, the instances went on to take it for one that served recently as long as some of them were started again within a minute of each other, as in a replacement of all instances of a large fleet. They announced all streams and refused unknown ones (3113) although one version served.

Cause: a summary names the versions without their age, and the one that is told counts them as seen now, so each restart kept a version for another minute.

Evidence: test_version_is_forgotten_while_instances_restart, three instances, a start each 20 s for 200 s after the version left; before: AssertionError: Lists differ: ['old', 'other'] != ['old']

Change: before the summary an instance is sent the versions with the seconds since each was seen, in the message that answers a question on a stream, which names no question then. A version that is known is not made newer by the summary that follows. The summary itself can't be given a field, as the build rejects one; a build without the message keeps the versions for a minute more, as before.

After: ['old']; test_out_of_step 38 passed.

--- a/cranberryrelay/relay/_news_exchange.py
+++ b/cranberryrelay/relay/_news_exchange.py
@@ -13,6 +13,7 @@
 from cranberryrelay.relay._peer_update import make_peer_update
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._state import RelayState
+from cranberryrelay.relay._stream_inquiry import StreamInquiry
 from cranberryrelay.relay._stream_versions import LeavingStreams
 from cranberryrelay.timing import TimerService
 
@@ -26,6 +27,7 @@
     membership: Membership
     timers: TimerService
     group_hub: GroupHub
+    stream_inquiry: StreamInquiry
 
     def direct_recipients(self) -> list[str]:
         """Return the peers that are sent urgent messages directly."""
@@ -99,6 +101,9 @@
         self.send_upstream_news(name)
         state = self.peers.state
         if state.stream_versions.informed:
+            # The ages go first, as the summary has none: what it names without
+            # one counts as seen now.
+            self.peers.send(name, self.peers.stream_inquiry.describe_versions())
             self.peers.send(name, state.stream_versions.summarize())
 
     def handle_suspect_news(self, sender: str, news: SuspectNews) -> None:
--- a/cranberryrelay/relay/_stream_inquiry.py
+++ b/cranberryrelay/relay/_stream_inquiry.py
@@ -46,10 +46,10 @@
 
 
 class StreamAnswer(NamedTuple):
-    """Answer to a ``StreamQuestion``."""
+    """Answer to a ``StreamQuestion``, or what an instance is told unasked."""
 
-    # ``asked_at`` of the question.
-    asked_at: float
+    # ``asked_at`` of the question; None without one.
+    asked_at: float | None
 
     # The stream, if the sender knows which version began it.
     streams: list[AnnouncedStreams]
@@ -249,31 +249,40 @@
     def handle_question(self, sender: str, question: StreamQuestion) -> None:
         """Tell a peer what is known."""
         versions = self.versions
-        now = self.timers.now()
         known = [question.stream] if question.stream in versions.streams else []
-        answer = StreamAnswer(
-            question.asked_at,
-            versions.group(known),
-            versions.version_ages(now),
-            versions.informed,
+        answer = self.describe_versions()._replace(
+            asked_at=question.asked_at, streams=versions.group(known)
         )
         self.send(sender, question.address, answer)
 
+    def describe_versions(self) -> StreamAnswer:
+        """Return which versions served, to be told unasked."""
+        ages = self.versions.version_ages(self.timers.now())
+        return StreamAnswer(None, [], ages, self.versions.informed)
+
     def handle_answer(self, sender: str, answer: StreamAnswer) -> None:
         """Record what a peer knows."""
         now = self.timers.now()
         self.versions.apply_announced(answer.streams, now)
         # Ages count from the question, so that a version that instances tell
         # each other of again and again does not stay recent.
-        self.versions.apply_ages(answer.versions, answer.asked_at)
+        as_of = now if answer.asked_at is None else answer.asked_at
+        self.versions.apply_ages(answer.versions, as_of)
         if not answer.informed:
             return
         self.versions.informed = True
-        inquiry = self.open.get(answer.asked_at)
+        if answer.asked_at is not None:
+            self.record_answer(sender, answer.asked_at, bool(answer.streams))
+
+    def record_answer(
+        self, sender: str, asked_at: float, stream_known: bool
+    ) -> None:
+        """Count the answer of an informed peer to a question that is open."""
+        inquiry = self.open.get(asked_at)
         group = inquiry and inquiry.groups.get(sender)
         if inquiry is None or group is None:
             return
         inquiry.missing.discard(group)
         inquiry.awaited.discard(group)
-        if answer.streams or not inquiry.awaited:
+        if stream_known or not inquiry.awaited:
             inquiry.done.set()
--- a/cranberryrelay/relay/tests/test_out_of_step.py
+++ b/cranberryrelay/relay/tests/test_out_of_step.py
@@ -71,6 +71,7 @@
 APART_SECONDS = 2.0
 DEADLINE_SECONDS = 8.0
 UNKNOWN = ResultCode.STREAM_VERSION_UNKNOWN
+RESTARTS = 10
 
 # More streams than one of three instances may announce in ``APART_SECONDS``.
 MANY_STREAMS = 2000
@@ -683,6 +684,29 @@
         self.assertEqual(outcome.hosts, ('d2',))
 
 
+async def restart_one_after_the_other() -> list[str]:
+    """Return the versions known after restarts since one of two left."""
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        network = LossyNetwork()
+        fleet = Fleet(network, nursery)
+        store = StubStore(StoreMode.REFUSES)
+        play = Play(network, fleet, timers, MESH[0], set(), store)
+        await start_instances(play, list(MESH))
+        play.join_other_version()
+        await trio.sleep(APART_SECONDS)
+        for name in MESH:
+            play.state_of(name).remove_upstream(OTHER.name, 'test')
+        for number in range(RESTARTS):
+            name = MESH[number % len(MESH)]
+            fleet.kill(name)
+            await start_instances(play, [name])
+            await trio.sleep(RETAINED_SECONDS / len(MESH))
+        state = play.fleet.protocols[MESH[0]].state
+        known = state.stream_versions.known_versions()
+        nursery.cancel_scope.cancel()
+    return known['s']
+
+
 class SharedVersionsTest(TestCase):
     """Instances tell each other of versions again and again."""
 
@@ -700,6 +724,13 @@
         for one in (first, second):
             self.assertEqual(one.known_versions(), {'s': ['old']})
 
+    # The same by instances that are replaced one after the other, each of which
+    # is told of the version by those that run.
+    def test_version_is_forgotten_while_instances_restart(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        known = trio.run(restart_one_after_the_other, clock=clock)
+        self.assertEqual(known, ['old'])
+
     # An engine that came and left between two looks at the versions.
     def test_version_of_a_short_stay_is_known(self) -> None:
         state = make_state(('d1', 'old'))
