--- a/cranberryrelay/relay/tests/test_out_of_step.py
+++ b/cranberryrelay/relay/tests/test_out_of_step.py
@@ -8,7 +8,6 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
-from enum import Enum
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 from unittest import TestCase
@@ -16,10 +15,9 @@
 import httpx
 import trio
 from nose2.tools import params
-from result import Err, Ok, Result
 from trio.testing import MockClock
 
-from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import RequestKind, Role
 from cranberryrelay.relay._context import (
@@ -29,12 +27,8 @@
 )
 from cranberryrelay.relay._model_path import ModelRun
 from cranberryrelay.relay._peer_protocol import PeerProtocol
-from cranberryrelay.relay._records import (
-    KindRecord,
-    RecordChange,
-    StorePosition,
-)
-from cranberryrelay.relay._store_check import CALL_SECONDS, StoreCheck
+from cranberryrelay.relay._records import KindRecord
+from cranberryrelay.relay._store_check import StoreCheck
 from cranberryrelay.relay._stream_inquiry import StreamAnswer, StreamQuestion
 from cranberryrelay.relay._stream_versions import (
     RETAINED_SECONDS,
@@ -56,6 +50,11 @@
     make_engine,
     make_state,
 )
+from cranberryrelay.relay.tests.test_store_check import (
+    StoreMode,
+    StubReplica,
+    StubStore,
+)
 from cranberryrelay.timing import TimerService, open_timer_service
 
 HUB_FLEET = tuple(f'front-{"abc"[idx % 3]}-{idx:02d}' for idx in range(21))
@@ -145,47 +144,6 @@
             yield item
 
 
-class StoreMode(Enum):
-    """How the store treats the calls of the instance out of step."""
-
-    ANSWERS = 1
-    REFUSES = 2
-    SILENT = 3
-
-
-class StubStore:
-    """Answers a watch with the engines that joined; counts the calls."""
-
-    def __init__(self, mode: StoreMode) -> None:
-        self.mode = mode
-        self.joined: tuple[KindRecord, ...] = ()
-        self.calls = 0
-
-    async def watch_kind(
-        self, kind: str, after: StorePosition, wait_seconds: float
-    ) -> Result[RecordChange, Failure]:
-        """Answer at once, refuse, or never answer."""
-        self.calls += 1
-        if self.mode is StoreMode.SILENT:
-            await trio.sleep_forever()
-        if self.mode is StoreMode.REFUSES:
-            return Err(fail(ResultCode.STORE_UNAVAILABLE, 'refused'))
-        return Ok(RecordChange(self.joined, (), at(2)))
-
-
-class StubReplica:
-    """Applies changes whose values are engines."""
-
-    def __init__(self, state: Any) -> None:
-        self.state = state
-        self.upstream_position = at(1)
-
-    def apply_upstream_changes(self, change: RecordChange) -> None:
-        """Apply the engines that joined."""
-        for record in change.changed:
-            self.state.apply_upstream(record.value, 'test')
-
-
 def make_store_check(
     play: 'Play', store: StubStore, timers: TimerService
 ) -> StoreCheck:
@@ -739,60 +697,3 @@
         state.remove_upstream(OTHER.name, 'test')
         known = state.stream_versions.known_versions()
         self.assertEqual(known, {'s': ['old', 'other']})
-
-
-class CheckCase(NamedTuple):
-    """A row: how the store treats a call, and what becomes of the check."""
-
-    name: str
-    mode: StoreMode
-    watches: bool
-    confirmed: bool
-
-    # Calls made for ``CHECKS`` checks at the same time.
-    calls: int
-
-
-CHECKS = 50
-CHECK_CASES = (
-    CheckCase('answers', StoreMode.ANSWERS, True, True, 1),
-    CheckCase('refuses', StoreMode.REFUSES, True, False, 1),
-    CheckCase('silent', StoreMode.SILENT, True, False, 1),
-    CheckCase('member of a hub', StoreMode.ANSWERS, False, False, 0),
-)
-
-
-async def check_store(case: CheckCase) -> tuple[set[bool], int]:
-    """Check the store for several requests; return the outcomes and calls."""
-    store = StubStore(case.mode)
-    duties: Any = SimpleNamespace(
-        protocol=SimpleNamespace(store_replica=StubReplica(None)),
-        needs_watch=lambda: case.watches,
-    )
-    outcomes: set[bool] = set()
-    stub: Any = store
-    async with open_timer_service() as timers, trio.open_nursery() as nursery:
-        check = StoreCheck(stub, 'servers', duties, timers)
-        nursery.start_soon(check.run)
-
-        async def confirm() -> None:
-            now = timers.now()
-            outcomes.add(await check.confirm(now, CALL_SECONDS / 2))
-
-        async with trio.open_nursery() as requests:
-            for _ in range(CHECKS):
-                requests.start_soon(confirm)
-        nursery.cancel_scope.cancel()
-    return outcomes, store.calls
-
-
-class StoreCheckTest(TestCase):
-    """The store is read on demand."""
-
-    # A call for each stream that is taken up, and a proof without an answer.
-    @params(*((case,) for case in CHECK_CASES))
-    def test_one_call_serves_all_that_wait(self, case: CheckCase) -> None:
-        clock = MockClock(autojump_threshold=0)
-        outcomes, calls = trio.run(check_store, case, clock=clock)
-        self.assertEqual(outcomes, {case.confirmed})
-        self.assertEqual(calls, case.calls)
