Soak: count requests with a body from their head

"time limits" reported requests whose callers had needed 0.6 s to open a connection on a busy machine. A request with a body now counts from the time at which its head was written; the margins are as before.

--- a/cranberryrelay/soak/_callers.py
+++ b/cranberryrelay/soak/_callers.py
@@ -58,11 +58,13 @@
         self.pause_seconds = pause_seconds
         self.timers = timers
 
-        # Time of day at which the last byte had been written.
+        # Times of day at which the head and the last byte had been written.
+        self.begun_at = float('inf')
         self.written_at = float('inf')
 
     async def write(self) -> AsyncIterator[bytes]:
         """Yield the body; a pause precedes its second part."""
+        self.begun_at = self.timers.utc()
         yield BODY_PART
         await self.timers.pause(self.pause_seconds)
         yield BODY_PART
@@ -123,8 +125,11 @@
         )
         outcome = await _send_request(client, started, body)
         outcome = outcome._replace(ended_at=self.timers.utc())
-        if body:
-            outcome = outcome._replace(written_at=body.written_at)
+        if body and body.begun_at <= outcome.ended_at:
+            # The time to open a connection is not the instance's.
+            outcome = outcome._replace(
+                sent_at=body.begun_at, written_at=body.written_at
+            )
         self.outcomes.append(outcome)
         return outcome
 
