Test numbers of callers and engines beyond the range that messages hold

Callers saw, before the numbers were bounded: a request with a token count of 16 digits ended the instance that took it, and all requests there were closed without an answer.

--- a/cranberryrelay/relay/tests/test_kept_connections.py
+++ b/cranberryrelay/relay/tests/test_kept_connections.py
@@ -27,6 +27,7 @@
 )
 from cranberryrelay.relay._forward_targets import ForwardTarget
 from cranberryrelay.relay._pipeline import RelayPipeline
+from cranberryrelay.relay._requests import RawHeaders
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._upstream_call import make_upstream_client
 from cranberryrelay.relay.tests.fixtures import (
@@ -188,9 +189,15 @@
     # Pipeline of the instance.
     pipeline: RelayPipeline
 
-    async def send(self, request_id: str, target: str = '/a/1') -> str:
+    async def send(
+        self,
+        request_id: str,
+        target: str = '/a/1',
+        headers: RawHeaders = (),
+    ) -> str:
         """Send a request of a caller; return its body, or its code."""
         headers = (
+            *headers,
             (b'Host', b'a.example'),
             (ID_HEADER.encode(), request_id.encode()),
             (b'X-Cranberryrelay-Model', b'm'),
