Start a failed task again instead of ending the process

Callers: any unexpected error in a task of the background, such as the watcher of the engines' list, the reach monitor, the account or the registration, ended the process and cut all of its running requests.

Cause: the tasks run in the nursery of the servers, so an error in one cancels the others. Nothing decided which of them may end the process.

Evidence, test_supervision on the code before, with a store whose first call of each kind raises: the instance ends with a group of "RecursionError: list_kind servers", "RecursionError: list_kind config", "RecursionError: create relay-instances", "RecursionError: list_kind relay-streams"; "0 passed, 2 failed". Ticks of a subscriber that failed went on for ever: "AssertionError: 3 != 0".

Change: a supervisor runs each task of the background. After an unexpected error it logs the traceback with the code 5401, counts it by task and starts the task again after 0.1 s, doubled up to 2 s until a run lasts 10 s. What a task knows is kept in the objects whose method it runs, so it goes on where it was. Only the servers end the process: one that cannot listen is of no use. Cancellation ends supervised tasks as before. Ticks end when their channel is no longer used, so that runs that failed leave no timers behind.

Decided by task: watchers of the note and of the upstreams, roles, notes, streams, registration, messages, heartbeats, requested heartbeats, reach, account (writing and later eras) and settings are started again; the three servers and the sockets for peers at the start may end the process.

After: Ran 7 tests, OK; the instance is ready after each task failed once.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -89,6 +89,7 @@
     MESSAGE_NOT_HANDLED = 5202
     ACCOUNT_GAP = 5301
     REQUEST_ID_UNKNOWN = 5302
+    TASK_FAILED = 5401
 
 
 class CodeEntry(NamedTuple):
@@ -392,6 +393,10 @@
         ResultCode.REQUEST_ID_UNKNOWN: CodeEntry(
             'no instance issued this request id', HTTPStatus.NOT_FOUND
         ),
+        ResultCode.TASK_FAILED: CodeEntry(
+            'a task of the process failed and is started again',
+            HTTPStatus.INTERNAL_SERVER_ERROR,
+        ),
     }
 )
 
--- a/cranberryrelay/relay/_serving.py
+++ b/cranberryrelay/relay/_serving.py
@@ -1,8 +1,7 @@
 """Starts the components of an instance and serves until it is stopped."""
 
 import random
-from collections.abc import Iterator
-from contextlib import contextmanager
+from functools import partial
 from typing import NamedTuple
 
 import trio
@@ -17,7 +16,7 @@
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._order_lease import OrderLease
 from cranberryrelay.relay._orders import EngineControl
-from cranberryrelay.relay._peer_messages import PEER_MESSAGE_TYPES
+from cranberryrelay.relay._peer_connections import open_peers
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._records import RecordStore
 from cranberryrelay.relay._registration import keep_registered
@@ -26,17 +25,12 @@
 from cranberryrelay.relay._settings import InstanceSettings
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import Decoders, StoreReplica
-from cranberryrelay.relay._store_tasks import start_store_tasks
+from cranberryrelay.relay._store_tasks import make_store_tasks
+from cranberryrelay.relay._supervision import SupervisedTask, Supervisor
 from cranberryrelay.relay._upstream_call import make_upstream_client
 from cranberryrelay.relay._upstream_reach import LOOK_SECONDS, ReachMonitor
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
 from cranberryrelay.timing import TimerService, open_timer_service
-from cranberryrelay.wire import (
-    CurveKeys,
-    make_codec,
-    open_context,
-    open_peer_network,
-)
 
 
 class RelayDependencies(NamedTuple):
@@ -73,7 +67,11 @@
 async def serve_relay(
     dependencies: RelayDependencies, stop: trio.Event
 ) -> None:
-    """Serve callers until ``stop`` is set, then finish running requests."""
+    """Serve callers until ``stop`` is set, then finish running requests.
+
+    An unexpected error ends the process only if it is one of the servers', such
+    as an address that is in use. All other tasks are started again.
+    """
     state = RelayState(dependencies.settings)
     state.start_check.begin()
     state.stream_versions.begin()
@@ -93,19 +91,18 @@
             dependencies.incarnation,
             knowledge.known_era,
         )
-        with _open_peers(state, knowledge, timers) as peers:
-            duties = Duties(peers)
-            for watcher in _make_watchers(dependencies, duties):
-                nursery.start_soon(watcher.run)
-            _start_peer_tasks(nursery, peers)
-            nursery.start_soon(account.run)
-            nursery.start_soon(account.keep_written)
-            nursery.start_soon(_apply_settings, dependencies, state)
-            nursery.start_soon(_make_role_controller(dependencies, duties).run)
-            start_store_tasks(
-                nursery, dependencies.store, dependencies.upstream_kind, duties
-            )
-            nursery.start_soon(keep_registered, dependencies.store, peers)
+        with open_peers(state, knowledge, timers) as peers:
+            supervisor = Supervisor(state.telemetry, timers)
+            for task in (
+                *_make_duty_tasks(dependencies, peers),
+                *_make_peer_tasks(peers),
+                SupervisedTask('account', account.run),
+                SupervisedTask('account in later eras', account.keep_written),
+                SupervisedTask(
+                    'settings', partial(_apply_settings, dependencies, state)
+                ),
+            ):
+                nursery.start_soon(supervisor.keep_running, task)
             await serve_callers(tools, peers, stop)
             await account.write()
             nursery.cancel_scope.cancel()
@@ -118,13 +115,33 @@
         state.apply_settings(settings)
 
 
-def _start_peer_tasks(nursery: trio.Nursery, peers: PeerProtocol) -> None:
-    nursery.start_soon(peers.receive)
-    nursery.start_soon(peers.run_heartbeats)
-    nursery.start_soon(peers.send_requested_heartbeats)
-    nursery.start_soon(
-        monitor_reach, peers.state, peers.timers, probe_connection
-    )
+def _make_peer_tasks(peers: PeerProtocol) -> list[SupervisedTask]:
+    reach = partial(monitor_reach, peers.state, peers.timers, probe_connection)
+    return [
+        SupervisedTask('messages', peers.receive),
+        SupervisedTask('heartbeats', peers.run_heartbeats),
+        SupervisedTask('requested heartbeats', peers.send_requested_heartbeats),
+        SupervisedTask('reach of upstreams', reach),
+    ]
+
+
+def _make_duty_tasks(
+    dependencies: RelayDependencies, peers: PeerProtocol
+) -> list[SupervisedTask]:
+    store = dependencies.store
+    duties = Duties(peers)
+    watchers = [
+        SupervisedTask(f'watcher of {watcher.callbacks.kind}', watcher.run)
+        for watcher in _make_watchers(dependencies, duties)
+    ]
+    return [
+        *watchers,
+        *make_store_tasks(store, dependencies.upstream_kind, duties),
+        SupervisedTask(
+            'roles', _make_role_controller(dependencies, duties).run
+        ),
+        SupervisedTask('registration', partial(keep_registered, store, peers)),
+    ]
 
 
 async def monitor_reach(
@@ -142,24 +159,6 @@
             state.request_heartbeat()
 
 
-@contextmanager
-def _open_peers(
-    state: RelayState, knowledge: StoreReplica, timers: TimerService
-) -> Iterator[PeerProtocol]:
-    settings = state.settings
-    with (
-        open_context() as context,
-        open_peer_network(
-            settings.name,
-            f'{settings.ip}:{settings.peer_port}',
-            context,
-            CurveKeys(),
-            make_codec(list(PEER_MESSAGE_TYPES)),
-        ) as network,
-    ):
-        yield PeerProtocol(state, knowledge, network, timers)
-
-
 def _make_role_controller(
     dependencies: RelayDependencies, duties: Duties
 ) -> RoleController:
--- a/cranberryrelay/relay/_telemetry.py
+++ b/cranberryrelay/relay/_telemetry.py
@@ -30,6 +30,11 @@
             'Records from the store or a peer that could not be used, by kind',
             registry=self.registry,
         )
+        self.task_failures = Counter(
+            'cranberryrelay_relay_task_failures',
+            'Unexpected errors of tasks that were started again, by task',
+            registry=self.registry,
+        )
         self.first_event = Histogram(
             'cranberryrelay_relay_first_event_seconds',
             'Time to the first event by rank',
@@ -55,6 +60,10 @@
         """Count a record that could not be used: 'upstream' or 'note'."""
         self.invalid_records.inc({'kind': kind})
 
+    def count_task_failure(self, name: str) -> None:
+        """Count an unexpected error that ended a run of a task."""
+        self.task_failures.inc({'task': name})
+
     def observe_first_event(self, rank: Rank, seconds: float) -> None:
         """Observe the time to the first event of a request, in seconds."""
         self.first_event.observe({'rank': rank.name.lower()}, seconds)
--- a/cranberryrelay/timing/_timer_service.py
+++ b/cranberryrelay/timing/_timer_service.py
@@ -5,6 +5,7 @@
 """
 
 import time
+import weakref
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 
@@ -41,18 +42,22 @@
     ) -> trio.MemoryReceiveChannel[float]:
         """Return a channel that receives the monotonic time at each tick.
 
-        A slow subscriber misses ticks: the channel buffers only one.
+        A slow subscriber misses ticks: the channel buffers only one. The ticks
+        end when the channel is closed or no longer used.
         """
         sender, receiver = trio.open_memory_channel[float](_TICK_BUFFER)
-        self.nursery.start_soon(self._tick, period_seconds, sender)
+        self.nursery.start_soon(
+            self._tick, period_seconds, sender, weakref.ref(receiver)
+        )
         return receiver
 
     async def _tick(
         self,
         period_seconds: float,
         sender: trio.MemorySendChannel[float],
+        subscriber: Callable[[], trio.MemoryReceiveChannel[float] | None],
     ) -> None:
-        while True:
+        while subscriber() is not None:
             try:
                 sender.send_nowait(trio.current_time())
             except trio.WouldBlock:
