Keep the settings in force when their file cannot be read as text

Callers: a settings file with bytes that are not UTF-8, or with deep nesting, ended a running process within 2 s of the change.

Cause: only OSError and TOMLDecodeError were expected where the file is read.

Evidence, test_settings_reload on the code before: "Ran 13 tests", "FAILED (errors=2)": "UnicodeDecodeError: 'utf-8' codec can't decode byte 0xff in position 5: invalid start byte", "RecursionError: maximum recursion depth exceeded".

After: Ran 13 tests, OK.

--- a/cranberryrelay/platform/_boot.py
+++ b/cranberryrelay/platform/_boot.py
@@ -79,7 +79,7 @@
     """Read the settings file; errors: ``SETTINGS_UNREADABLE``."""
     try:
         return Ok(Path(path).read_text())
-    except OSError as error:
+    except (OSError, UnicodeError) as error:
         return Err(fail(ResultCode.SETTINGS_UNREADABLE, str(error)))
 
 
@@ -91,7 +91,7 @@
     """
     try:
         document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return Err(fail(ResultCode.SETTINGS_UNREADABLE, str(error)))
     return _decode_settings(document)
 
--- a/cranberryrelay/relay/tests/test_settings_reload.py
+++ b/cranberryrelay/relay/tests/test_settings_reload.py
@@ -46,6 +46,27 @@
 REQUEST: Final = b'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n'
 
 
+NESTED: Final = 'x = {}{}'.format('[' * 100_000, ']' * 100_000).encode()
+
+
+class OddSettingsFileTest(TestCase):
+    """Settings files that cannot be read."""
+
+    # Guards against a process that ends as its settings file changes.
+    @params(b'x = "\xff"', NESTED, b'', b'\0', b'x = 1979-99-99', b'[a')
+    def test_settings_in_force_hold(self, content: bytes) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder, 'boot.toml')
+            path.write_bytes(content)
+            reader = SettingsReader(str(path), '')
+            with self.assertLogs('cranberryrelay.relay') as log:
+                trio.run(reader.reload)
+        self.assertEqual(
+            [record.getMessage() for record in log.records],
+            ['settings not taken'],
+        )
+
+
 class ApplySettingsTest(TestCase):
     """Reloaded settings that are applied to the state."""
 
