Answer a request with a number and a log line after an unexpected error

Callers saw: after an error that no step of the pipeline expects (ValueError, OverflowError, httpx.InvalidURL, ClosedResourceError, an exception group), the 500 page of the web framework: without a number, without "not run" where nothing had been sent, and not counted in the metrics. In the middle of a stream the connection was closed without a log line of ours. A head that h11 refuses to write was counted as a failure of the upstream, though nothing reaches it.

Cause: the pipeline knew the failures that are values, and no others.

Change: the steps before the send, the run and the forwarding turn such an error into the new code 5402, with a log line and its traceback. It is "not run" (503) exactly if nothing had been sent, else 502. Errors while a call is built or that h11 raises for its head are not run either, and the upstream takes no blame. A stream that has begun is broken off. The front app answers by the same code outside the pipeline. Cancellation passes through as before.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -90,6 +90,7 @@
     ACCOUNT_GAP = 5301
     REQUEST_ID_UNKNOWN = 5302
     TASK_FAILED = 5401
+    INTERNAL_ERROR = 5402
 
 
 class CodeEntry(NamedTuple):
@@ -397,6 +398,12 @@
             'a task of the process failed and is started again',
             HTTPStatus.INTERNAL_SERVER_ERROR,
         ),
+        ResultCode.INTERNAL_ERROR: CodeEntry(
+            'the instance met an error that it does not expect',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
     }
 )
 
--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -42,7 +42,8 @@
         # Names of upstreams that this request does not try again.
         self.excluded: frozenset[str] = frozenset()
 
-        # Time of the last send, in seconds on the local clock.
+        # Time of the last send, in seconds on the local clock; minus infinity
+        # before the first one.
         self.sent_at = float('-inf')
 
     def remaining_seconds(self) -> float:
@@ -57,9 +58,9 @@
         Every request of a caller to an upstream is sent here.
         """
         sent_at = self.context.timers.now()
-        self.sent_at = sent_at
         self.context.state.record_attempt(upstream.name, sent_at)
         self.log_unwanted_send(upstream, sent_at)
+        self.sent_at = sent_at
         return await open_response(
             self.context.client,
             self.context.dialect,
@@ -68,17 +69,23 @@
             partial(self.record_metadata, upstream, sent_at),
         )
 
+    def is_sent(self) -> bool:
+        """Return whether the request has been sent to an upstream."""
+        return self.sent_at > float('-inf')
+
     def record_upstream_failure(
         self, upstream: Upstream, failure: Failure
     ) -> None:
         """Record the failure of the last send for the upstream.
 
-        A timeout that a sound silence explains is only counted.
+        An error of this instance, or a timeout that a sound silence explains,
+        is only counted.
         """
         state = self.context.state
         now = self.context.timers.now()
         timed_out = failure.code is ResultCode.UPSTREAM_TIMEOUT
-        if timed_out and now - self.sent_at <= SOUND_SILENCE_SECONDS:
+        is_silence = timed_out and now - self.sent_at <= SOUND_SILENCE_SECONDS
+        if is_silence or failure.code is ResultCode.INTERNAL_ERROR:
             state.telemetry.count_failure(failure.code)
         else:
             state.record_failure(upstream.name, failure, now)
--- a/cranberryrelay/relay/_forwarding.py
+++ b/cranberryrelay/relay/_forwarding.py
@@ -23,6 +23,7 @@
 )
 from cranberryrelay.relay._forward_targets import ForwardTarget
 from cranberryrelay.relay._requests import UpstreamCall
+from cranberryrelay.relay._unexpected_errors import record_unexpected
 from cranberryrelay.relay._upstream_call import (
     UpstreamResponse,
     read_body,
@@ -61,18 +62,29 @@
     ) -> Result[BufferedReply | StreamReply, Failure]:
         """Return the answer of a peer.
 
-        Errors: ``FORWARD_UNAVAILABLE`` if no peer took the request, and those
-        of a call whose answer is lost.
+        Errors: ``FORWARD_UNAVAILABLE`` if no peer took the request,
+        ``INTERNAL_ERROR``, and those of a call whose answer is lost.
         """
-        excluded: set[str] = set()
+        tried: set[str] = set()
+        try:
+            return await self.try_targets(admitted, tried)
+        except Exception as error:
+            request_id = admitted.request.request_id
+            failure = record_unexpected(error, request_id, is_sent=bool(tried))
+            return Err(failure)
+
+    async def try_targets(
+        self, admitted: AdmittedRequest, tried: set[str]
+    ) -> Result[BufferedReply | StreamReply, Failure]:
+        """Send a request to one peer after another; adds them to ``tried``."""
         for _ in range(TARGETS_LIMIT):
             now = self.context.timers.now()
             target = self.targets.choose(
-                self.context.state.settings.domain, excluded, now
+                self.context.state.settings.domain, tried, now
             )
             if target is None:
                 break
-            excluded.add(target.address)
+            tried.add(target.address)
             opened = await self.send(target, admitted)
             self.log_forwarded(admitted, target, opened)
             if isinstance(opened, Ok):
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -10,6 +10,7 @@
 from quart_trio import QuartTrio
 from result import Err
 from werkzeug.datastructures import Headers
+from werkzeug.exceptions import InternalServerError
 
 from cranberryrelay.codes import (
     CODE_TABLE,
@@ -32,6 +33,7 @@
 from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._requests import IncomingRequest, RawHeaders
 from cranberryrelay.relay._state import ActiveRequest
+from cranberryrelay.relay._unexpected_errors import record_unexpected
 from cranberryrelay.serving import ShieldedSendApp
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
@@ -102,6 +104,12 @@
             response.headers['Retry-After'] = format_retry_after(failure)
         return self.close_if_draining(response)
 
+    async def refuse_unexpected(self, error: InternalServerError) -> Response:
+        """Make the error response for an error outside the pipeline."""
+        original = error.original_exception
+        cause = original if isinstance(original, Exception) else error
+        return self.refuse(record_unexpected(cause, '', is_sent=True))
+
     def close_if_draining(self, response: Response) -> Response:
         """Ask the caller to close the connection during a planned stop."""
         if self.context.state.draining:
@@ -257,8 +265,7 @@
     """Make the app that serves callers."""
     app = CleanupApp('cranberryrelay.relay', context)
     app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
-    routes = FrontRoutes(context)
-    app.before_request(routes.handle_request)
+    add_routes(app, FrontRoutes(context))
     return app
 
 
@@ -266,10 +273,16 @@
     """Make the app that serves requests that peers forward."""
     app = CleanupApp('cranberryrelay.forward', context)
     app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
-    app.before_request(ForwardRoutes(context).handle_request)
+    add_routes(app, ForwardRoutes(context))
     return app
 
 
+def add_routes(app: QuartTrio, routes: FrontRoutes) -> None:
+    """Let an app handle all requests, and its own errors, by routes."""
+    app.before_request(routes.handle_request)
+    app.register_error_handler(InternalServerError, routes.refuse_unexpected)
+
+
 def make_readiness_app(context: RelayContext) -> QuartTrio:
     """Make the app that serves the readiness check and the metrics."""
     app = ShieldedSendApp('cranberryrelay.ready')
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 from http import HTTPStatus
 from typing import Final
@@ -17,6 +18,7 @@
 from cranberryrelay.relay._catalogue import ClientLimits, RequestKind, Route
 from cranberryrelay.relay._context import (
     AdmittedRequest,
+    BrokenStreamError,
     BufferedReply,
     RelayContext,
     StreamReply,
@@ -25,6 +27,7 @@
 from cranberryrelay.relay._model_path import ModelRun
 from cranberryrelay.relay._plain_path import PlainRun
 from cranberryrelay.relay._requests import IncomingRequest
+from cranberryrelay.relay._unexpected_errors import record_unexpected
 
 # A request ends this long before the caller's own deadline, so that the error
 # response still reaches the caller.
@@ -60,14 +63,23 @@
 
         ``may_forward`` is false for a request that a peer has forwarded.
         """
-        request = self.context.dialect.parse_request(raw)
-        admitted = self.admit(request, stack)
+        request = raw
+        try:
+            request = self.context.dialect.parse_request(raw)
+            admitted = self.admit(request, stack)
+        except Exception as error:
+            request_id = request.request_id
+            failed = record_unexpected(error, request_id, is_sent=False)
+            admitted = Err(failed)
         if isinstance(admitted, Err):
             outcome: Result[BufferedReply | StreamReply, Failure] = admitted
         elif may_forward:
             outcome = await self.run_or_forward(admitted.unwrap())
         else:
             outcome = await self.run(admitted.unwrap())
+        outcome = outcome.map(
+            lambda reply: end_unexpected_as_broken(reply, request.request_id)
+        )
         rank = admitted.unwrap().route.rank if admitted.is_ok() else None
         failure = outcome.err()
         code = failure.code if failure else ResultCode.ANSWERED
@@ -137,6 +149,20 @@
         self, admitted: AdmittedRequest
     ) -> Result[BufferedReply | StreamReply, Failure]:
         """Run a request on engines or on a plain service, as its route says."""
+        run: ModelRun | PlainRun | None = None
+        outcome: Result[BufferedReply | StreamReply, Failure]
+        try:
+            run = self.make_run(admitted)
+            outcome = await run.run()
+        except Exception as error:
+            request_id = admitted.request.request_id
+            is_sent = run is not None and run.is_sent()
+            failure = record_unexpected(error, request_id, is_sent=is_sent)
+            outcome = Err(failure)
+        return outcome.and_then(check_promise)
+
+    def make_run(self, admitted: AdmittedRequest) -> ModelRun | PlainRun:
+        """Count a request and make its run."""
         request = admitted.request
         state = self.context.state
         state.account_buffer.add(request.request_id, admitted.revision)
@@ -146,12 +172,9 @@
         is_model_request = (
             admitted.request.model_request is not None and engines
         )
-        outcome: Result[BufferedReply | StreamReply, Failure]
         if is_model_request and admitted.route.kind is RequestKind.STREAM:
-            outcome = await ModelRun(self.context, admitted).run()
-        else:
-            outcome = await PlainRun(self.context, admitted).run()
-        return outcome.and_then(check_promise)
+            return ModelRun(self.context, admitted)
+        return PlainRun(self.context, admitted)
 
     def log_failure(
         self,
@@ -174,6 +197,28 @@
         )
 
 
+def end_unexpected_as_broken(
+    reply: BufferedReply | StreamReply, request_id: str
+) -> BufferedReply | StreamReply:
+    """Return a reply whose stream breaks off after an unexpected error."""
+    if isinstance(reply, BufferedReply):
+        return reply
+    return reply._replace(events=_break_off(reply.events, request_id))
+
+
+async def _break_off(
+    events: AsyncIterator[bytes], request_id: str
+) -> AsyncIterator[bytes]:
+    try:
+        async for event in events:
+            yield event
+    except BrokenStreamError:
+        raise
+    except Exception as error:
+        failure = record_unexpected(error, request_id, is_sent=True)
+        raise BrokenStreamError(failure.detail) from error
+
+
 def check_promise(
     reply: BufferedReply | StreamReply,
 ) -> Result[BufferedReply | StreamReply, Failure]:
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -16,6 +16,7 @@
     ResponseMetadata,
     UpstreamCall,
 )
+from cranberryrelay.relay._unexpected_errors import record_unexpected
 from cranberryrelay.timing import limit_time
 from cranberryrelay.wire import KeptConnectionTransport, UnsentRequestError
 
@@ -123,22 +124,23 @@
 ) -> Result[UpstreamResponse, Failure]:
     """Send a call; the response is not checked and the time not limited.
 
-    Errors: ``UPSTREAM_UNREACHABLE`` or ``UPSTREAM_CLOSED`` if nothing was sent,
-    ``UPSTREAM_FAILED``.
+    Errors: ``UPSTREAM_UNREACHABLE``, ``UPSTREAM_CLOSED`` or ``INTERNAL_ERROR``
+    if nothing was sent, ``UPSTREAM_FAILED``.
     """
-    headers = [*dialect.make_call_headers(call), *extra_headers]
     try:
-        request = _build_request(client, call, headers)
+        url = httpx.URL(f'http://{call.address}')
+    except httpx.InvalidURL as odd_address:
+        return Err(_to_failure(odd_address, call))
+    try:
+        headers = [*dialect.make_call_headers(call), *extra_headers]
+        request = _build_request(client, url, call, headers)
+    except Exception as odd:
+        request_id = call.request.request_id
+        return Err(record_unexpected(odd, request_id, is_sent=False))
+    try:
         http_response = await client.send(request, stream=True)
-    except UnsentRequestError as closed:
-        detail = f'{call.upstream}: {closed!r}'
-        return Err(fail(ResultCode.UPSTREAM_CLOSED, detail))
-    except _NOT_SENT as unsent:
-        detail = f'{call.upstream}: {unsent!r}'
-        return Err(fail(ResultCode.UPSTREAM_UNREACHABLE, detail))
     except httpx.HTTPError as error:
-        detail = f'{call.upstream}: {error!r}'
-        return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
+        return Err(_to_failure(error, call))
     stack.push_async_callback(_close, http_response)
     metadata = dialect.parse_response(
         http_response.status_code, http_response.headers.raw
@@ -149,9 +151,12 @@
 
 
 def _build_request(
-    client: httpx.AsyncClient, call: UpstreamCall, headers: RawHeaders
+    client: httpx.AsyncClient,
+    url: httpx.URL,
+    call: UpstreamCall,
+    headers: RawHeaders,
 ) -> httpx.Request:
-    """Build the request of a call; raises ``httpx.InvalidURL``.
+    """Build the request of a call; ``url`` holds the address alone.
 
     The caller's target is sent as it is: as a part of the URL it would be
     normalized, or rejected.
@@ -159,13 +164,28 @@
     incoming = call.request
     return client.build_request(
         incoming.method,
-        f'http://{call.address}',
+        url,
         headers=list(headers),
         content=incoming.body,
         extensions={'target': incoming.target.encode('latin-1')},
     )
 
 
+def _to_failure(
+    error: httpx.HTTPError | httpx.InvalidURL, call: UpstreamCall
+) -> Failure:
+    if isinstance(error, httpx.LocalProtocolError):
+        # Raised for the head of a request, before it is sent.
+        request_id = call.request.request_id
+        return record_unexpected(error, request_id, is_sent=False)
+    code = ResultCode.UPSTREAM_FAILED
+    if isinstance(error, UnsentRequestError):
+        code = ResultCode.UPSTREAM_CLOSED
+    elif isinstance(error, _NOT_SENT):
+        code = ResultCode.UPSTREAM_UNREACHABLE
+    return fail(code, f'{call.upstream}: {error!r}')
+
+
 def _check_response(
     call: UpstreamCall, response: UpstreamResponse
 ) -> Result[UpstreamResponse, Failure]:
