Test the splitting of answers with arbitrary entries

The fuzz writes arbitrary documents as entries among good ones, as json.dumps does with NaN, infinities and half surrogate pairs, as pages and as changes.

--- a/cranberryrelay/platform/tests/test_odd_store_entries.py
+++ b/cranberryrelay/platform/tests/test_odd_store_entries.py
@@ -4,16 +4,25 @@
 processes that end, because of one entry that cannot be read.
 """
 
-from typing import NamedTuple
+import json
+import logging
+from typing import Any, NamedTuple
 from unittest import TestCase
 
 import httpx
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from nose2.tools import params
 from result import Result
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import decode_upstream
+from cranberryrelay.platform._store_documents import (
+    StoreAnswer,
+    decode_change,
+    decode_page,
+)
 from cranberryrelay.platform._target_store import ERA_HEADER, TargetStore
 from cranberryrelay.relay import KindListing, KindRecord, RecordChange
 from cranberryrelay.relay.tests.fixtures import at
@@ -178,3 +187,56 @@
         odd = records[ODD_NAME]
         self.assertTrue(decode_upstream(odd).is_err())
         self.assertEqual(odd.position, at(case.revision))
+
+
+plain_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.integers(2**62, 2**70)
+    | st.floats()
+    | st.text(st.characters(codec=None), max_size=5)
+    | st.sampled_from(['i-1', '\\', '"', '],[', '}']),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                ['metadata', 'name', 'revision', 'spec', 'object', 'removed']
+            )
+            | st.text(max_size=2),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=12,
+)
+odd_objects = plain_values | st.builds(
+    lambda metadata, spec: {'metadata': metadata, 'spec': spec},
+    st.fixed_dictionaries({'name': plain_values}) | plain_values,
+    plain_values,
+)
+
+
+class OddEntryFuzzTest(TestCase):
+    """Arbitrary documents as entries among good ones."""
+
+    def setUp(self) -> None:
+        """Keep the lines on nameless records out of the report of the tests."""
+        logging.disable(logging.WARNING)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    # Guards against any entry that ends the watcher or stops the list.
+    @given(odd=st.lists(odd_objects, max_size=3), escaped=st.booleans())
+    @settings(derandomize=True, deadline=None, max_examples=400)
+    def test_good_entries_are_read(self, odd: list[Any], escaped: bool) -> None:
+        texts = [
+            json.dumps(one, ensure_ascii=escaped).encode(errors='surrogatepass')
+            for one in odd
+        ]
+        stored = (GOOD_BEFORE, *texts, GOOD_AFTER)
+        listed = decode_page(StoreAnswer(1, make_page(*stored))).unwrap()
+        changed = decode_change(StoreAnswer(1, make_events(*stored))).unwrap()
+        for records in (listed.records, changed.changed):
+            self.assertLessEqual(
+                set(GOOD_NAMES), {record.name for record in records}
+            )
