Read the objects and instances of a list one by one

Callers of the first system: one odd item in the list of objects or instances ended the steward (nesting) or froze the list; an answer without a version, or with one of 5,000 digits, ended it too.

Change: a list that cannot be decoded whole is split, and items that cannot be read are left out with one log line; a version is a whole number of 64 bits. An answer without one counts as of unknown outcome, as its call may have taken effect.

--- a/cranberryrelay/platform/_http_object_api.py
+++ b/cranberryrelay/platform/_http_object_api.py
@@ -1,15 +1,17 @@
 """HTTP client of the platform's object API."""
 
-from collections.abc import AsyncIterator
+import logging
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 from typing import Any, Final
 
 import httpx
-import msgspec
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import Failure, ResultCode, fail
+from cranberryrelay.platform._dialect import parse_whole_number
+from cranberryrelay.platform._json_parts import decode_json, split_elements
 from cranberryrelay.platform._object_api import ListedInstance, StoredObject
 
 _CODES_BY_STATUS: Final = (
@@ -25,6 +27,7 @@
     httpx.ConnectTimeout,
     httpx.PoolTimeout,
 )
+_LOG: Final = logging.getLogger('cranberryrelay.platform')
 
 
 class HttpObjectApi:
@@ -37,7 +40,7 @@
     async def read(self, key: str) -> Result[StoredObject, Failure]:
         """Read the latest version of an object."""
         reply = await self._call('GET', f'/objects/{key}')
-        return reply.map(lambda response: _to_object(key, response))
+        return reply.and_then(lambda response: _to_object(key, response))
 
     async def write(
         self, key: str, body: bytes, expected_version: int
@@ -47,16 +50,16 @@
         reply = await self._call(
             'PUT', f'/objects/{key}', content=body, headers=headers
         )
-        return reply.map(
-            lambda response: int(response.headers[_VERSION_HEADER])
-        )
+        return reply.and_then(_read_version)
 
     async def list_objects(
         self, prefix: str
     ) -> Result[list[StoredObject], Failure]:
         """List the objects with a key prefix."""
         reply = await self._call('GET', '/objects', params={'prefix': prefix})
-        return reply.and_then(_to_objects)
+        return reply.and_then(
+            lambda response: _decode_items(response.content, StoredObject)
+        )
 
     async def watch(
         self, key: str, after_version: int, wait_seconds: float
@@ -64,12 +67,14 @@
         """Wait for a version above ``after_version``."""
         query = {'after': str(after_version), 'wait': str(wait_seconds)}
         reply = await self._call('GET', f'/watch/{key}', params=query)
-        return reply.map(lambda response: _to_object(key, response))
+        return reply.and_then(lambda response: _to_object(key, response))
 
     async def list_instances(self) -> Result[list[ListedInstance], Failure]:
         """List the instances; the list may be out of date."""
         reply = await self._call('GET', '/instances')
-        return reply.and_then(_to_instances)
+        return reply.and_then(
+            lambda response: _decode_items(response.content, ListedInstance)
+        )
 
     async def _call(
         self, method: str, path: str, **arguments: Any
@@ -90,31 +95,45 @@
         return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, detail))
 
 
-def _to_object(key: str, response: httpx.Response) -> StoredObject:
-    version = int(response.headers[_VERSION_HEADER])
-    return StoredObject(key, version, response.content)
-
-
-def _to_objects(
-    response: httpx.Response,
-) -> Result[list[StoredObject], Failure]:
-    try:
-        return Ok(
-            msgspec.json.decode(response.content, type=list[StoredObject])
-        )
-    except msgspec.MsgspecError as error:
-        return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
-
-
-def _to_instances(
-    response: httpx.Response,
-) -> Result[list[ListedInstance], Failure]:
-    try:
-        return Ok(
-            msgspec.json.decode(response.content, type=list[ListedInstance])
-        )
-    except msgspec.MsgspecError as error:
-        return Err(fail(ResultCode.FRAME_MALFORMED, str(error)))
+def _read_version(response: httpx.Response) -> Result[int, Failure]:
+    version = parse_whole_number(response.headers.get(_VERSION_HEADER, ''))
+    if version is None:
+        detail = f'the answer has no valid {_VERSION_HEADER}'
+        return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, detail))
+    return Ok(version)
+
+
+def _to_object(
+    key: str, response: httpx.Response
+) -> Result[StoredObject, Failure]:
+    version = _read_version(response)
+    return version.map(
+        lambda number: StoredObject(key, number, response.content)
+    )
+
+
+def _decode_items(body: bytes, schema: Any) -> Result[list[Any], Failure]:
+    """Decode a list; items that cannot be read are left out and logged.
+
+    Errors: ``FRAME_MALFORMED`` if it is no list.
+    """
+    whole = decode_json(body, list[schema])
+    decoded = [decode_json(one, schema) for one in _split_faulty(whole, body)]
+    if not decoded:
+        return whole
+    invalid = [one.unwrap_err().detail for one in decoded if one.is_err()]
+    _LOG.warning(
+        'invalid items left out',
+        extra={'count': len(invalid), 'detail': invalid[0]},
+    )
+    return Ok([one.unwrap() for one in decoded if one.is_ok()])
+
+
+def _split_faulty(whole: Result[Any, Failure], body: bytes) -> Iterator[bytes]:
+    """Return the items of a list that cannot be decoded whole."""
+    if whole.is_ok() or not body.lstrip().startswith(b'['):
+        return iter(())
+    return split_elements(body)
 
 
 @asynccontextmanager
--- a/cranberryrelay/platform/_object_api.py
+++ b/cranberryrelay/platform/_object_api.py
@@ -1,10 +1,12 @@
 """Interface of the platform's object API, and the types that it uses."""
 
-from typing import Final, NamedTuple, Protocol
+from typing import Annotated, Final, NamedTuple, Protocol
 
+import msgspec
 from result import Result
 
 from cranberryrelay.codes import Failure
+from cranberryrelay.wire import INTEGER_MAX
 
 ENTRY_SORT: Final = 'entry'
 VALUE_BYTES_LIMIT: Final = 1_000_000
@@ -17,7 +19,7 @@
     key: str
 
     # Version of the object: 1 when created, higher after each write.
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
 
     # Value of the object, at most ``VALUE_BYTES_LIMIT`` bytes.
     body: bytes
