Refuse a forwarded request whose revision is no number

Callers: nobody yet; whoever reaches the port for forwarded requests with a revision of 5,000 digits got 500, after which a peer tries no other instance.

Cause: isdecimal says nothing of the size, and int() raises for long texts.

Evidence, test_forwarding on the code before: "Ran 14 tests", "FAILED (failures=1)": "ValueError: Exceeds the limit (4300 digits) for integer string conversion", "AssertionError: 500 != 503".

Change: a revision has 19 digits at most; the refusal states no more of it.

After: Ran 14 tests, OK.

--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -38,6 +38,9 @@
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 
+# Most digits of a revision.
+REVISION_DIGITS: Final = 19
+
 # Path of the metrics, on the same address as the readiness check.
 METRICS_PATH: Final = '/metrics'
 
@@ -159,11 +162,19 @@
         if state.forwarded.active >= FORWARDED_LIMIT:
             return f'{FORWARDED_LIMIT} forwarded requests are in progress'
         revision = request.headers.get(REVISION_HEADER.decode(), '')
-        if not revision.isdecimal() or int(revision) > state.revision():
-            return f'revision {revision} is not in force here'
+        if not is_known_revision(revision, state.revision()):
+            stated = revision[:REVISION_DIGITS]
+            return f'revision {stated} is not in force here'
         return None
 
 
+def is_known_revision(text: str, known: int) -> bool:
+    """Return whether a text is a revision up to the known one."""
+    if not text.isdecimal() or len(text) > REVISION_DIGITS:
+        return False
+    return int(text) <= known
+
+
 _RETRYABLE_STATUSES: Final = frozenset(
     (
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cranberryrelay/relay/tests/test_forwarding.py
+++ b/cranberryrelay/relay/tests/test_forwarding.py
@@ -31,7 +31,11 @@
     StreamReply,
 )
 from cranberryrelay.relay._forward_targets import ForwardTarget
-from cranberryrelay.relay._forwarding import FORWARDED_LIMIT
+from cranberryrelay.relay._forwarding import (
+    FORWARDED_LIMIT,
+    REFUSED_HEADER,
+    REVISION_HEADER,
+)
 from cranberryrelay.relay._front_app import make_forward_app
 from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._state import RelayState
@@ -222,6 +226,36 @@
         return service.cancelled
 
 
+async def forward_under(revision: bytes) -> tuple[int, str | None]:
+    """Return status and stated obstacle of a request under a revision."""
+    route = make_route(RequestKind.AT_MOST_ONCE)
+    peer = make_state(REVISION, route, Role.PLAIN)
+    headers = [
+        (b'Host', b'a.example'),
+        (ID_HEADER.encode(), REQUEST_ID.encode()),
+        (REVISION_HEADER, revision),
+    ]
+    async with (
+        run_peer(peer, PlainService().respond) as target,
+        httpx.AsyncClient() as client,
+    ):
+        url = f'http://{target.address}/a/1'
+        answer = await client.post(url, headers=headers)
+    return answer.status_code, answer.headers.get(REFUSED_HEADER.decode())
+
+
+class OddRevisionTest(TestCase):
+    """Forwarded requests under a revision that is no number."""
+
+    # Guards against an exception in place of a refusal, as a peer sends the
+    # request to another instance only after a refusal.
+    @params(b'9' * 5000, b'9' * 30, b'\xb2', b'-1', b'', b'1e3')
+    def test_request_is_refused(self, revision: bytes) -> None:
+        status, obstacle = trio.run(forward_under, revision)
+        self.assertEqual(status, 503)
+        self.assertIn('not in force here', obstacle or '')
+
+
 class ForwardingTest(TestCase):
     """Requests of an instance that is cut off, at its peer."""
 
