Pick the service of a resumed stream by the attempt that began it

Callers saw nothing that we know of; found by reading and a test. On a route that is split between two services, about half of the streams that callers took up were sent to the other service: refused (3107, 3113) if it has no engine of the version that began them, and gone on with there if it has.

Cause: the service is picked by a hash of the request id, and each attempt has its own. The version of a stream is known by the id of the attempt that began it, the service was not.

Evidence: test_stream_stays_at_its_service, 40 streams on a route with two equal shares, each resumed under a new id; before, 22 of 40 move: AssertionError: Lists differ: [('s', 't'), ('t', 's'), ... != [] First list contains 22 additional elements.

Change: the service is picked by the id of the attempt that began the stream, which is the request's own id for all that is not resumed. Shares stay as they are. A release note that changes the shares may still move a stream.

After: 0 of 40 move, both services are used.

--- a/cranberryrelay/relay/_catalogue.py
+++ b/cranberryrelay/relay/_catalogue.py
@@ -89,7 +89,8 @@
     def pick_service(self, request_id: str) -> str:
         """Pick a service by weight, by a hash of the request ID.
 
-        The same request gets the same service at every instance.
+        The same request gets the same service at every instance. For a stream
+        that is resumed, the ID is that of the attempt that began it.
         """
         total = sum(share.weight for share in self.shares)
         point = hash_to_unit_interval(request_id) * total
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -118,7 +118,7 @@
             AdmittedRequest(
                 request=request,
                 route=route,
-                service=route.pick_service(request.request_id),
+                service=route.pick_service(request.stream_id()),
                 revision=state.table.revision,
                 deadline=_deadline_of(request, route),
                 stack=stack,
--- a/cranberryrelay/relay/tests/test_software_versions.py
+++ b/cranberryrelay/relay/tests/test_software_versions.py
@@ -15,7 +15,7 @@
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
-from cranberryrelay.relay import RequestKind, Role, Upstream
+from cranberryrelay.relay import RequestKind, Role, ServiceShare, Upstream
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BrokenStreamError,
@@ -23,6 +23,7 @@
     StreamReply,
 )
 from cranberryrelay.relay._model_path import ModelRun
+from cranberryrelay.relay._pipeline import RelayPipeline
 from cranberryrelay.relay._role_controller import RoleController
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay.tests.fixtures import (
@@ -30,11 +31,13 @@
     make_route,
     make_settings,
     make_table,
+    open_mock_context,
 )
 from cranberryrelay.relay.tests.test_model_path import EVENTS, WORK, Engines
 from cranberryrelay.timing import open_timer_service
 
 LATER_SECONDS = 1.0
+STREAMS = 40
 DEPARTED_SECONDS = 61.0
 NEVER_DROPPED = float('inf')
 
@@ -284,6 +287,42 @@
         self.assertEqual(engines.calls, [])
 
 
+async def pick_services(stream_id: str) -> tuple[str, str]:
+    """Return the services of a stream's first attempt and of a later one."""
+    state = RelayState(make_settings())
+    shares = (ServiceShare('s', 1), ServiceShare('t', 1))
+    route = make_route(RequestKind.STREAM)._replace(shares=shares)
+    state.apply_table(make_table(1, route), 'test')
+    began = make_arrival(stream_id, WORK)
+    resumed = make_arrival(f'{stream_id} again', WORK)._replace(
+        last_event_number=2, resumed_request_id=stream_id
+    )
+    async with (
+        open_mock_context(state, Engines('').respond) as context,
+        AsyncExitStack() as stack,
+    ):
+        pipeline = RelayPipeline(context)
+        admitted = [
+            pipeline.admit(arrival, stack).unwrap()
+            for arrival in (began, resumed)
+        ]
+    return admitted[0].service, admitted[1].service
+
+
+class SplitRouteTest(TestCase):
+    """A route that is split between two services."""
+
+    # A stream that goes on at another service, of which no engine may have the
+    # version that began it.
+    def test_stream_stays_at_its_service(self) -> None:
+        picked = [
+            trio.run(pick_services, f'r{number}') for number in range(STREAMS)
+        ]
+        moved = [pair for pair in picked if pair[0] != pair[1]]
+        self.assertEqual(moved, [])
+        self.assertEqual({began for began, _ in picked}, {'s', 't'})
+
+
 class RolePlanTest(TestCase):
     """Roles while several versions serve."""
 
