Keep unconfirmed crashes over a standstill of the instance

A run that its engine broke off counts as a crash if the engine is found gone within 5 s. An instance that was frozen for longer dropped the run at its first heartbeat tick after the thaw, before it had read that the engine had ended, so the crash was never counted and the request could reach more engines.

Cause: the time in which nothing could be learned counts as time in which the end of the engine was not heard of.

Evidence: test_crash_is_confirmed_after_a_freeze, two engines, clock ahead by 10 s; before: AssertionError: <Clearance.GRANTED: 1> is not <Clearance.REFUSED: 3>

Change: after a standstill the runs are kept for the 5 s once more.

After: test_after_a_pause 6 passed; test_crash_suspects, test_crashing_requests, test_crashing_segments and test_clearance pass.

--- a/cranberryrelay/relay/_crash_suspects.py
+++ b/cranberryrelay/relay/_crash_suspects.py
@@ -136,6 +136,9 @@
         self.answers = AnswerHistory()
         self.reported_crashes: dict[str, float] = {}
 
+        # Unconfirmed runs are kept until then, in seconds on the local clock.
+        self.kept_until = float('-inf')
+
     def judge(self, digests: Iterable[str], now: float) -> Clearance:
         """Return whether a request with these digests may be sent."""
         suspects = self.suspects_among(digests, now)
@@ -206,8 +209,17 @@
             self._refute(engine)
             self._announce_refutation(engine)
 
+    def record_absence(self, now: float) -> None:
+        """Allow the whole time for confirmation after a standstill.
+
+        What tells that an engine has ended may still wait to be read.
+        """
+        self.kept_until = now + CONFIRMATION_WINDOW_SECONDS
+
     def drop_unconfirmed(self, now: float) -> None:
         """Drop the runs whose engine was not found gone in time."""
+        if now < self.kept_until:
+            return
         oldest = now - CONFIRMATION_WINDOW_SECONDS
         for engine, runs in list(self.interrupted.items()):
             if runs[-1].interrupted_at < oldest:
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -477,6 +477,7 @@
         record_absence(protocol.membership, absent_seconds, now)
         protocol.group_hub.record_absence(absent_seconds, now)
         protocol.state.start_check.record_absence(absent_seconds)
+        protocol.state.crash_suspects.record_absence(now)
         _LOG.warning(
             'stood still',
             extra={'seconds': round(absent_seconds + ABSENCE_SECONDS, 3)},
--- a/cranberryrelay/relay/tests/test_after_a_pause.py
+++ b/cranberryrelay/relay/tests/test_after_a_pause.py
@@ -11,8 +11,12 @@
 from nose2.tools import params
 from trio.testing import MockClock
 
-from cranberryrelay.relay._crash_suspects import Clearance
+from cranberryrelay.relay._crash_suspects import (
+    CONFIRMATION_WINDOW_SECONDS,
+    Clearance,
+)
 from cranberryrelay.relay._membership import LIVENESS_TIMEOUT_SECONDS
+from cranberryrelay.relay._peer_protocol import HEARTBEAT_SECONDS
 from cranberryrelay.relay.tests.test_news_exchange import (
     CUT_SECONDS,
     DEADLY,
@@ -24,6 +28,7 @@
 from cranberryrelay.timing import open_timer_service
 
 DEAF = 'front-b-01'
+ENGINES = ('e1', 'e2')
 FREEZE_SECONDS = 5.0
 
 # Longer than several heartbeats after the thaw.
@@ -82,6 +87,25 @@
     return live
 
 
+async def freeze_before_confirmation(clock: MockClock) -> Clearance:
+    """Return how an instance judges a request that crashed two upstreams.
+
+    It saw them break off, stood still, and then learned that they had ended.
+    """
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        fleet = await start_fleet(3, LossyNetwork(), nursery, timers)
+        suspects = fleet.protocols[DEAF].state.crash_suspects
+        for engine in ENGINES:
+            suspects.record_interrupted(engine, (DEADLY,), timers.now())
+        clock.jump(2 * CONFIRMATION_WINDOW_SECONDS)
+        await trio.sleep(2 * HEARTBEAT_SECONDS)
+        for engine in ENGINES:
+            suspects.record_gone(engine)
+        clearance = suspects.judge((DEADLY,), timers.now())
+        nursery.cancel_scope.cancel()
+    return clearance
+
+
 class OneWayLossTest(TestCase):
     """An instance hears nothing for a while, but is heard."""
 
@@ -105,6 +129,13 @@
         counts = trio.run(count_after_freeze, instances, clock, clock=clock)
         self.assertEqual(counts, {instances})
 
+    # Guards against forgetting a crash whose engine was found gone only after
+    # the freeze, and so against sending the request to more engines.
+    def test_crash_is_confirmed_after_a_freeze(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        clearance = trio.run(freeze_before_confirmation, clock, clock=clock)
+        self.assertIs(clearance, Clearance.REFUSED)
+
     # Guards against counting a peer that has ended for as long as the freeze.
     def test_peer_that_ended_is_noticed_after_a_freeze(self) -> None:
         clock = MockClock(autojump_threshold=0)
