Soak: tell the time since the last byte only where it is known

Requests without a body and those whose connection closed before the body was written said "ended -inf s after its last byte".

--- a/cranberryrelay/soak/_promises.py
+++ b/cranberryrelay/soak/_promises.py
@@ -248,18 +248,24 @@
         upstreams[run.request_id] = ran_at | {run.upstream}
     for outcome in evidence.outcomes:
         ran_at = upstreams.get(outcome.request_id, frozenset())
-        late = outcome.ended_at - outcome.written_at
-        read = late > LOSS_SLACK_SECONDS + MARGIN_SECONDS
+        seconds = outcome.ended_at - outcome.written_at
+        read = seconds > LOSS_SLACK_SECONDS + MARGIN_SECONDS
         if not outcome.is_unanswered() or not (ran_at or read):
             continue
         if _is_cut_at_limit(outcome):
             continue
         if evidence.is_undisturbed(ran_at | {outcome.instance}, outcome):
-            names = ', '.join(sorted(ran_at)) or 'no upstream'
-            yield (
-                f'{outcome.request_id} to {outcome.instance}, run by {names}, '
-                f'ended {late:.2f} s after its last byte: {outcome.error}'
-            )
+            yield _describe_unanswered(outcome, ran_at)
+
+
+def _describe_unanswered(outcome: Outcome, ran_at: frozenset[str]) -> str:
+    names = ', '.join(sorted(ran_at)) or 'no upstream'
+    seconds = outcome.ended_at - outcome.written_at
+    after = f' {seconds:.2f} s after its last byte' if seconds > 0 else ''
+    return (
+        f'{outcome.request_id} to {outcome.instance}, run by {names}, '
+        f'ended{after}: {outcome.error}'
+    )
 
 
 def check_silences(evidence: Evidence) -> Iterator[str]:
