Report requests that were taken and not answered

On-call engineers could not tell why a caller got no answer: hypercorn's error log is off, so a connection that ended with a request in progress, and an error of the app in the middle of an answer, left no line and no count. Besides, an error of one connection ended the server: a request with 'Upgrade: h2c' and 'HTTP2-Settings: AAAA' cut all callers of the process.

Cause: nothing watched whether an answer was sent whole, and a connection's nursery passed its error on to the nursery of the server.

Evidence, on: serve_http with that one request raises InvalidFrameError('Invalid SETTINGS body') and ends.

Change: the connection watches each answer and reports those that are not whole with the reason of its end, the age of the request and the app's error. The error of a connection is logged as 'connection failed' and ends only that connection. What is told of a request follows its sends: one that is known not to have run leaves no mark, and a prefill alone does not count as a run.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -61,13 +61,17 @@
         self.context.state.record_attempt(upstream.name, sent_at)
         self.log_unwanted_send(upstream, sent_at)
         self.sent_at = sent_at
-        return await open_response(
+        progress = self.admitted.progress
+        before = progress.begin_send(prefill_only=call.prefill_only)
+        outcome = await open_response(
             self.context.client,
             self.context.dialect,
             call,
             self.admitted.stack,
             partial(self.record_metadata, upstream, sent_at),
         )
+        progress.end_send(outcome.err(), may_have_run_before=before)
+        return outcome
 
     def is_sent(self) -> bool:
         """Return whether the request has been sent to an upstream."""
--- a/cranberryrelay/relay/_caller_servers.py
+++ b/cranberryrelay/relay/_caller_servers.py
@@ -8,6 +8,7 @@
 
 from cranberryrelay.relay._context import RelayContext
 from cranberryrelay.relay._front_app import (
+    UnansweredRequests,
     make_forward_app,
     make_front_app,
     make_readiness_app,
@@ -41,6 +42,7 @@
     drain_seconds = (
         grace_seconds - DEREGISTRATION_SECONDS - SHUTDOWN_MARGIN_SECONDS
     )
+    unanswered = UnansweredRequests(tools)
     trigger = DrainTrigger(tools, peers, stop)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
@@ -67,6 +69,7 @@
                     drain_seconds,
                     tools.state.idle_seconds,
                     partial(head_seconds, tools.state),
+                    unanswered.record,
                 )
                 draining.start_soon(serve_http, app, options, trigger.wait)
             await trigger.run()
--- a/cranberryrelay/relay/_context.py
+++ b/cranberryrelay/relay/_context.py
@@ -2,10 +2,11 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import httpx
 
+from cranberryrelay.codes import ExecutionState, Failure
 from cranberryrelay.relay._catalogue import Route
 from cranberryrelay.relay._connection_probe import ConnectionProbe
 from cranberryrelay.relay._requests import Dialect, IncomingRequest, RawHeaders
@@ -33,6 +34,38 @@
     probe: ConnectionProbe | None = None
 
 
+class RequestProgress:
+    """How far a request has got, for what is said of it if it ends early."""
+
+    def __init__(self) -> None:
+        # Whether anything of it was sent to an upstream or a peer.
+        self.passed_on = False
+
+        # Whether an upstream may have begun to run it.
+        self.may_have_run = False
+
+    def begin_send(self, *, prefill_only: bool = False) -> bool:
+        """Record a send; return whether an earlier one may have run.
+
+        A call for the prefill alone does not run the request.
+        """
+        may_have_run_before = self.may_have_run
+        self.passed_on = True
+        self.may_have_run |= not prefill_only
+        return may_have_run_before
+
+    def end_send(
+        self, failure: Failure | None, *, may_have_run_before: bool
+    ) -> None:
+        """Record the outcome of a send; None stands for an answer."""
+        if failure is not None and failure.ran is ExecutionState.NOT_RUN:
+            self.may_have_run = may_have_run_before
+
+
+# Of requests whose progress is not read by anybody.
+UNREAD_PROGRESS: Final = RequestProgress()
+
+
 class AdmittedRequest(NamedTuple):
     """A request with its route, pinned to a revision of the release note."""
 
@@ -55,6 +88,9 @@
     # Closes everything that was opened for the request.
     stack: AsyncExitStack
 
+    # How far the request has got.
+    progress: RequestProgress = UNREAD_PROGRESS
+
     def remaining_seconds(self, now: float) -> float:
         """Return the time left until the deadline, in seconds."""
         return self.deadline - now
--- a/cranberryrelay/relay/_forwarding.py
+++ b/cranberryrelay/relay/_forwarding.py
@@ -110,6 +110,7 @@
             _SINGLE_USE,
         )
         admitted.stack.enter_context(self.targets.track(target))
+        before = admitted.progress.begin_send()
         with limit_time(remaining):
             sent = await send_call(
                 self.context.client,
@@ -118,7 +119,9 @@
                 admitted.stack,
                 headers,
             )
-            return sent.and_then(_check_taken)
+            taken = sent.and_then(_check_taken)
+            admitted.progress.end_send(taken.err(), may_have_run_before=before)
+            return taken
         detail = f'peer {target.address} did not answer in time'
         return Err(fail(ResultCode.UPSTREAM_TIMEOUT, detail))
 
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -22,6 +22,7 @@
 from cranberryrelay.relay._context import (
     BufferedReply,
     RelayContext,
+    RequestProgress,
     StreamReply,
 )
 from cranberryrelay.relay._forward_reports import forward_address
@@ -34,7 +35,11 @@
 from cranberryrelay.relay._requests import IncomingRequest, RawHeaders
 from cranberryrelay.relay._state import ActiveRequest
 from cranberryrelay.relay._unexpected_errors import record_unexpected
-from cranberryrelay.serving import ShieldedSendApp
+from cranberryrelay.serving import (
+    ShieldedSendApp,
+    UnansweredLog,
+    UnansweredRequest,
+)
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 
@@ -54,7 +59,10 @@
         for code in (ResultCode.CRASH_SUSPECT, ResultCode.CRASH_REFUSED)
     }
 )
+
+# Keys of the state of an ASGI scope.
 _STACK: Final = 'cranberryrelay.stack'
+_PROGRESS: Final = 'cranberryrelay.progress'
 
 
 class FrontRoutes:
@@ -75,6 +83,7 @@
         outcome = await self.pipeline.serve(
             self.read_request(body, arrived_at),
             stack,
+            request.scope['state'][_PROGRESS],
             may_forward=self.may_forward,
         )
         if isinstance(outcome, Err):
@@ -201,11 +210,15 @@
 
 
 def read_request(body: bytes, arrived_at: float) -> IncomingRequest:
-    """Read the HTTP request that is being handled.
+    """Read the HTTP request that is being handled."""
+    return read_scope(request.scope, body, arrived_at)
+
+
+def read_scope(scope: Any, body: bytes, arrived_at: float) -> IncomingRequest:
+    """Read the request of an ASGI scope.
 
     The dialect fills in the fields that depend on the headers.
     """
-    scope: Any = request.scope
     headers = tuple(scope['headers'])
     query = scope['query_string'].decode('latin-1')
     path = scope['raw_path'].decode('latin-1')
@@ -214,7 +227,7 @@
     )
     return IncomingRequest(
         request_id='',
-        method=request.method,
+        method=scope['method'],
         target=f'{path}?{query}' if query else path,
         path=path,
         host=host.decode('latin-1').partition(':')[0].lower(),
@@ -260,6 +273,7 @@
         if scope['type'] != 'http':
             await super().__call__(scope, receive, send)
             return
+        scope['state'][_PROGRESS] = RequestProgress()
         active = self.context.state.active
         active[id(scope)] = ActiveRequest(
             scope['path'], self.context.timers.now()
@@ -280,6 +294,29 @@
     return app
 
 
+class UnansweredRequests:
+    """Logs and counts the requests that were taken and not answered."""
+
+    def __init__(self, context: RelayContext) -> None:
+        self.context = context
+        self.log = UnansweredLog()
+
+    def record(self, unanswered: UnansweredRequest) -> None:
+        """Record a request, whoever ended its connection."""
+        scope = unanswered.scope
+        arrival = read_scope(scope, b'', 0)
+        progress = scope['state'].get(_PROGRESS, RequestProgress())
+        self.log.write(
+            unanswered,
+            request_id=self.context.dialect.parse_request(arrival).request_id,
+            passed_on=progress.passed_on,
+            may_have_run=progress.may_have_run,
+        )
+        self.context.state.telemetry.count_unanswered(
+            unanswered.reason, passed_on=progress.passed_on
+        )
+
+
 def make_forward_app(context: RelayContext) -> QuartTrio:
     """Make the app that serves requests that peers forward."""
     app = CleanupApp('cranberryrelay.forward', context)
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -17,10 +17,12 @@
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
 from cranberryrelay.relay._catalogue import ClientLimits, RequestKind, Route
 from cranberryrelay.relay._context import (
+    UNREAD_PROGRESS,
     AdmittedRequest,
     BrokenStreamError,
     BufferedReply,
     RelayContext,
+    RequestProgress,
     StreamReply,
 )
 from cranberryrelay.relay._forwarding import Forwarder
@@ -56,12 +58,14 @@
         self,
         raw: IncomingRequest,
         stack: AsyncExitStack,
+        progress: RequestProgress = UNREAD_PROGRESS,
         *,
         may_forward: bool = True,
     ) -> Result[BufferedReply | StreamReply, Failure]:
         """Return the response to a request, or the failure that ended it.
 
-        ``may_forward`` is false for a request that a peer has forwarded.
+        ``progress`` is kept up to date. ``may_forward`` is false for a request
+        that a peer has forwarded.
         """
         request = raw
         try:
@@ -71,6 +75,7 @@
             request_id = request.request_id
             failed = record_unexpected(error, request_id, is_sent=False)
             admitted = Err(failed)
+        admitted = admitted.map(lambda one: one._replace(progress=progress))
         if isinstance(admitted, Err):
             outcome: Result[BufferedReply | StreamReply, Failure] = admitted
         elif may_forward:
--- a/cranberryrelay/relay/_telemetry.py
+++ b/cranberryrelay/relay/_telemetry.py
@@ -35,6 +35,11 @@
             'Unexpected errors of tasks that were started again, by task',
             registry=self.registry,
         )
+        self.unanswered = Counter(
+            'cranberryrelay_relay_unanswered',
+            'Requests taken and not answered whole, by reason and passed_on',
+            registry=self.registry,
+        )
         self.first_event = Histogram(
             'cranberryrelay_relay_first_event_seconds',
             'Time to the first event by rank',
@@ -64,6 +69,12 @@
         """Count an unexpected error that ended a run of a task."""
         self.task_failures.inc({'task': name})
 
+    def count_unanswered(self, reason: str, *, passed_on: bool) -> None:
+        """Count a request that was taken and not answered whole."""
+        self.unanswered.inc(
+            {'reason': reason, 'passed_on': str(passed_on).lower()}
+        )
+
     def observe_first_event(self, rank: Rank, seconds: float) -> None:
         """Observe the time to the first event of a request, in seconds."""
         self.first_event.observe({'rank': rank.name.lower()}, seconds)
--- a/cranberryrelay/serving/__init__.py
+++ b/cranberryrelay/serving/__init__.py
@@ -11,3 +11,8 @@
 )
 from cranberryrelay.serving._http_server import send_shielded as send_shielded
 from cranberryrelay.serving._http_server import serve_http as serve_http
+from cranberryrelay.serving._unanswered import EndReason as EndReason
+from cranberryrelay.serving._unanswered import UnansweredLog as UnansweredLog
+from cranberryrelay.serving._unanswered import (
+    UnansweredRequest as UnansweredRequest,
+)
--- a/cranberryrelay/serving/_http_connection.py
+++ b/cranberryrelay/serving/_http_connection.py
@@ -8,7 +8,7 @@
 
 from enum import Enum, auto
 from math import inf
-from typing import Final, NamedTuple, Protocol
+from typing import Any, Final, NamedTuple, Protocol
 
 import trio
 from hypercorn.config import Config
@@ -21,6 +21,14 @@
 from hypercorn.typing import AppWrapper, ConnectionState
 from hypercorn.utils import parse_socket_addr
 
+from cranberryrelay.serving._unanswered import (
+    AnswerWatch,
+    EndReason,
+    UnansweredObserver,
+    UnansweredRequest,
+    note_errors,
+)
+
 # Bytes that are read from the socket at a time.
 READ_BYTES: Final = 65_536
 
@@ -89,6 +97,9 @@
     # Time limits.
     limits: ConnectionLimits
 
+    # Receives the requests that are not answered.
+    observe_unanswered: UnansweredObserver
+
 
 class HttpConnection(TCPServer):
     """Serves one connection; only its reader decides to close it when idle."""
@@ -108,6 +119,9 @@
         self.limits = services.limits
         self.waiting = Waiting(Awaited.REQUEST, trio.current_time())
 
+        # Why the connection has ended; None while it is open.
+        self.end_reason: EndReason | None = None
+
         # Limits the present wait for bytes.
         self.read_scope = trio.CancelScope()
 
@@ -123,7 +137,7 @@
             return
         async with TaskGroup() as task_group:
             self.protocol = ProtocolWrapper(
-                self.app,
+                self.handle_scope,
                 self.config,
                 self.context,
                 task_group,
@@ -147,8 +161,46 @@
             await self._read_data()
         await self.protocol.handle(Closed())
 
+    async def handle_scope(
+        self,
+        scope: Any,
+        receive: Any,
+        send: Any,
+        sync_spawn: Any,
+        call_soon: Any,
+    ) -> None:
+        """Let the app handle a request; report one that is not answered."""
+        started_at = trio.current_time()
+        watch = AnswerWatch(self.is_broken, send)
+        try:
+            with note_errors(watch):
+                await self.app(
+                    scope, receive, watch.send, sync_spawn, call_soon
+                )
+        finally:
+            if not watch.complete:
+                self.services.observe_unanswered(
+                    UnansweredRequest(
+                        scope,
+                        trio.current_time() - started_at,
+                        self.end_reason or EndReason.INTERNAL_ERROR,
+                        watch.detail,
+                    )
+                )
+
+    def is_broken(self) -> bool:
+        """Return whether the connection has ended before its answer."""
+        return self.end_reason is not None
+
+    def record_end(self, reason: EndReason) -> None:
+        """Record why the connection ends; the first reason counts."""
+        self.end_reason = self.end_reason or reason
+
     async def protocol_send(self, event: Event) -> None:
         """Carry out what the protocol wants of the connection."""
+        if isinstance(event, RawData):
+            await self.send_bytes(event.data)
+            return
         if isinstance(event, Updated):
             awaited = Awaited.REQUEST if event.idle else Awaited.ANSWER
             self.wait_for(awaited)
@@ -157,6 +209,18 @@
         if isinstance(event, Closed):
             self.reader_scope.cancel()
 
+    async def send_bytes(self, content: bytes) -> None:
+        """Send bytes whole, also if the app is cancelled in the meantime."""
+        async with self.send_lock:
+            with trio.CancelScope(shield=True):
+                try:
+                    await self.stream.send_all(content)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    self.record_end(EndReason.CALLER_CLOSED)
+                else:
+                    return
+        await self.protocol.handle(Closed())
+
     def wait_for(self, awaited: Awaited) -> None:
         """Begin a wait and limit its time."""
         self.waiting = Waiting(awaited, trio.current_time())
@@ -179,6 +243,11 @@
 
     def abort(self) -> None:
         """Close the socket at once; a blocked send ends with an error."""
+        self.record_end(
+            EndReason.PLANNED_STOP
+            if self.limits.stopped
+            else EndReason.INTERNAL_ERROR
+        )
         self.reader_scope.cancel()
         self.socket.close()
 
@@ -187,8 +256,9 @@
             try:
                 received = await self.receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
+                received = b''
             if not received:
+                self.record_end(EndReason.CALLER_CLOSED)
                 return
             await self.protocol.handle(RawData(received))
             self.record_partial_head()
@@ -202,13 +272,19 @@
             with trio.move_on_after(LAST_LOOK_SECONDS):
                 return bytes(await self.stream.receive_some(READ_BYTES))
             if self.find_deadline() <= trio.current_time():
-                await self.refuse_late_head()
+                await self.end_wait()
                 return b''
 
-    async def refuse_late_head(self) -> None:
-        """Tell the caller that a request whose head is too late did not run."""
+    async def end_wait(self) -> None:
+        """End the connection, as its wait is over."""
         if self.waiting.awaited is Awaited.HEAD:
-            await self.protocol_send(RawData(HEAD_TIMEOUT_ANSWER))
+            # Nothing of the request has run.
+            await self.send_bytes(HEAD_TIMEOUT_ANSWER)
+            self.record_end(EndReason.HEAD_LIMIT)
+        elif self.limits.stopped:
+            self.record_end(EndReason.PLANNED_STOP)
+        else:
+            self.record_end(EndReason.IDLE_LIMIT)
 
     def record_partial_head(self) -> None:
         """Begin the time of a head of which only a part has arrived."""
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -1,5 +1,6 @@
 """HTTP server on hypercorn, configured the same way for every program."""
 
+import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from functools import partial
@@ -17,6 +18,11 @@
     HttpConnection,
     HttpServices,
 )
+from cranberryrelay.serving._unanswered import (
+    Send,
+    UnansweredLog,
+    UnansweredObserver,
+)
 
 # Upper bound for a request head; release notes set lower limits.
 HEAD_BYTES_LIMIT: Final = 65_536
@@ -27,8 +33,7 @@
 # Time for the head of a request where no release note limits it.
 DEFAULT_HEAD_SECONDS: Final = 10.0
 
-# ASGI send callable: passes a message from the app to the server.
-Send = Callable[[Any], Awaitable[None]]
+_LOG: Final = logging.getLogger('cranberryrelay.serving')
 
 
 def read_default_head_seconds() -> float:
@@ -53,6 +58,9 @@
     # byte to its last.
     read_head_seconds: Callable[[], float] = read_default_head_seconds
 
+    # Receives the requests that were taken and not answered; None to log them.
+    observe_unanswered: UnansweredObserver | None = None
+
 
 async def serve_http(
     app: QuartTrio,
@@ -114,7 +122,12 @@
         self.connections: set[HttpConnection] = set()
         self.all_closed = trio.Event()
         self.services = HttpServices(
-            app, config, WorkerContext(None), state, self
+            app,
+            config,
+            WorkerContext(None),
+            state,
+            self,
+            options.observe_unanswered or UnansweredLog().write,
         )
 
     def read_idle_seconds(self) -> float:
@@ -171,6 +184,9 @@
         self.connections.add(connection)
         try:
             await connection.run()
+        except Exception as error:
+            # One connection does not end the others.
+            _LOG.exception('connection failed', extra={'detail': repr(error)})
         finally:
             self.connections.discard(connection)
             if not self.connections:
--- a/cranberryrelay/serving/tests/callers.py
+++ b/cranberryrelay/serving/tests/callers.py
@@ -13,6 +13,7 @@
 from cranberryrelay.serving import (
     HttpServerOptions,
     ShieldedSendApp,
+    UnansweredRequest,
     serve_http,
 )
 from cranberryrelay.standins import LOOPBACK
@@ -24,6 +25,9 @@
 # Path of requests that are answered only when the test wants it.
 HELD_PATH: Final = '/held'
 
+# Path of an answer that fails in the middle.
+BROKEN_PATH: Final = '/broken'
+
 # Path of an answer that does not fit into the buffers of a connection.
 LARGE_PATH: Final = '/large'
 LARGE_BYTES: Final = 50_000_000
@@ -51,6 +55,9 @@
     # Set once the server has ended.
     ended: trio.Event
 
+    # Requests that the server reported as not answered.
+    unanswered: list[UnansweredRequest]
+
 
 class Caller:
     """A caller that keeps its connection open."""
@@ -101,15 +108,23 @@
     return '\r\n'.join(lines).encode()
 
 
+async def break_off() -> AsyncIterator[bytes]:
+    """Begin an answer and fail."""
+    yield b'begun'
+    raise ValueError('broken off')
+
+
 class AnsweringRoutes(NamedTuple):
     """Answers every request once its body is whole."""
 
     # What the requests are recorded in and wait for.
     served: ServedApp
 
-    async def answer(self) -> bytes:
+    async def answer(self) -> bytes | AsyncIterator[bytes]:
         """Answer a request."""
         self.served.handled.append(request.path)
+        if request.path == BROKEN_PATH:
+            return break_off()
         await request.get_data()
         if request.path == HELD_PATH:
             await self.served.release.wait()
@@ -130,10 +145,13 @@
 ) -> AsyncIterator[ServedApp]:
     """Serve the app on a loopback port until the context ends."""
     served = ServedApp(
-        pick_port(), clock, trio.Event(), trio.Event(), [], trio.Event()
+        pick_port(), clock, trio.Event(), trio.Event(), [], trio.Event(), []
     )
     options = HttpServerOptions(
-        f'{LOOPBACK}:{served.port}', GRACE_SECONDS, read_idle_seconds
+        f'{LOOPBACK}:{served.port}',
+        GRACE_SECONDS,
+        read_idle_seconds,
+        observe_unanswered=served.unanswered.append,
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(run_server, served, options)
