Don't use a connection of which more than the last answer was read

Callers saw: 502 (4103, may have run) for a request that came after a faulty upstream had written bytes behind an answer in the same segment. The request was sent, and the bytes were taken for its answer.

Cause: such bytes are read with the answer before and stay in the parser of the connection. The look at the socket before a request doesn't see them.

Evidence, on the code before: of 3 rows, an answer with a length, in chunks, and in two segments, each with one more answer behind it, 3 failed, with (['ok', 'ok', 'ANSWER_MISMATCH may_have_run'], 0) != (['ok', 'ok', 'ok'], 1)

Change: the stream counts the bytes that it reads of each answer. With the framing by the head it tells whether more than the answer was read; then the connection isn't used again. An answer in chunks that ends with trailer fields costs its connection too. Not found: an extra answer in chunks behind an answer in chunks; its request ends as before, with 502.

--- a/cranberryrelay/relay/tests/test_kept_connections.py
+++ b/cranberryrelay/relay/tests/test_kept_connections.py
@@ -15,7 +15,7 @@
 import trio
 from nose2.tools import params
 from result import Result
-from trio.testing import MockClock
+from trio.testing import MockClock, wait_all_tasks_blocked
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import TargetDialect
@@ -48,6 +48,11 @@
 PREFILLED = b'{"transfer_handle": "h", "tokens": 800}'
 NO_LINGER = b'\x01\x00\x00\x00\x00\x00\x00\x00'
 REQUEST_SECONDS = 10.0
+SEGMENT_BYTES = 30
+CHUNKED = (
+    f'HTTP/1.1 200 OK\r\n{ID_HEADER}: r1\r\n'
+    'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+).encode()
 
 # Steps of the HTTP client at which an upstream acts.
 CONNECTED = 'connection.connect_tcp.complete'
@@ -177,6 +182,28 @@
     await stream.aclose()
 
 
+async def answer_and_more(stream: trio.SocketStream) -> None:
+    """Answer r1 and write one more answer in the same segment."""
+    answer = make_answer(Received('r1', ''))
+    await stream.send_all(answer + make_answer(Received('r0', '')))
+    await trio.sleep_forever()
+
+
+async def answer_in_chunks(stream: trio.SocketStream) -> None:
+    """Answer r1 in chunks, and write one more answer in the same segment."""
+    await stream.send_all(CHUNKED + make_answer(Received('r0', '')))
+    await trio.sleep_forever()
+
+
+async def answer_head_first(stream: trio.SocketStream) -> None:
+    """Answer r1 in two segments, the second with one more answer."""
+    answer = make_answer(Received('r1', '')) + make_answer(Received('r0', ''))
+    await stream.send_all(answer[:SEGMENT_BYTES])
+    await wait_all_tasks_blocked()
+    await stream.send_all(answer[SEGMENT_BYTES:])
+    await trio.sleep_forever()
+
+
 class Site(NamedTuple):
     """An instance and the upstreams or peers that it calls."""
 
@@ -419,6 +446,27 @@
         self.assertEqual(runs, [1, int(case.kind is not ONCE)])
 
 
+async def send_after_extra(act: Any) -> tuple[list[str], int]:
+    """Send r1, which is answered twice, and r2; return all bodies."""
+    async with open_site(ONCE, Role.PLAIN) as site:
+        upstream = site.upstreams[0]
+        upstream.acts_on = 'r1'
+        upstream.act = act
+        bodies = [await site.send(name) for name in ('r0', 'r1', 'r2')]
+        return bodies, upstream.ids().count('r2')
+
+
+class ExtraBytesTest(TestCase):
+    """Bytes after an answer belong to no request."""
+
+    # Guards against sending a request on a connection of which bytes after the
+    # last answer have been read; they would be taken for its answer.
+    @params(answer_and_more, answer_in_chunks, answer_head_first)
+    def test_connection_is_not_used_again(self, act: Any) -> None:
+        outcome = trio.run(send_after_extra, act)
+        self.assertEqual(outcome, (['ok', 'ok', 'ok'], 1))
+
+
 class IdleCase(NamedTuple):
     """A row: what an upstream says, and whether a connection is used again."""
 
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -15,6 +15,7 @@
 from cranberryrelay.wire._keep_alive import (
     KEEP_ALIVE_OPTIONS as KEEP_ALIVE_OPTIONS,
 )
+from cranberryrelay.wire._kept_connections import AnswerBytes as AnswerBytes
 from cranberryrelay.wire._kept_connections import (
     KeptConnectionTransport as KeptConnectionTransport,
 )
--- a/cranberryrelay/wire/_kept_connections.py
+++ b/cranberryrelay/wire/_kept_connections.py
@@ -10,6 +10,7 @@
 
 import re
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Any, Final
 
 import httpcore
@@ -21,6 +22,9 @@
 # The server's idle time begins while the end of its answer is on its way, and
 # the next request has to arrive before it ends.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.25
+_HEAD_END: Final = b'\r\n\r\n'
+_LAST_CHUNK: Final = b'\r\n0\r\n\r\n'
+_NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _IS_READABLE: Final = 'is_readable'
 _TIMEOUT_PARAMETER: Final = re.compile(
     r'\s*timeout\s*=\s*(\d{1,9})\s*', re.ASCII | re.IGNORECASE
@@ -31,6 +35,56 @@
     """The server ended a new connection before a request was sent on it."""
 
 
+class AnswerBytes:
+    """Counts the bytes read of one answer, to find bytes that follow it.
+
+    The parser of the next answer would begin with such bytes.
+    """
+
+    def __init__(self) -> None:
+        self.start = b''
+        self.head_count = 0
+        self.count = 0
+        self.last = b''
+
+        # Length of the body by the head; None if the answer is in chunks or
+        # ends with its connection.
+        self.body_count: int | None = None
+        self.is_chunked = False
+
+    def add(self, received: bytes) -> None:
+        """Add bytes that were read."""
+        self.count += len(received)
+        self.last = (self.last + received)[-len(_LAST_CHUNK) :]
+        if self.head_count:
+            return
+        self.start += received
+        end = self.start.find(_HEAD_END)
+        if end >= 0:
+            self.head_count = end + len(_HEAD_END)
+            self.start = b''
+
+    def record_head(self, response: httpx.Response, method: str) -> None:
+        """Record how the answer is framed."""
+        self.is_chunked = 'Transfer-Encoding' in response.headers
+        if method == 'HEAD' or response.status_code in _NO_BODY:
+            self.is_chunked = False
+            self.body_count = 0
+        elif not self.is_chunked and 'Content-Length' in response.headers:
+            self.body_count = int(response.headers['Content-Length'])
+
+    def is_followed(self) -> bool:
+        """Return whether more than the answer has been read, once it ended.
+
+        An answer in chunks that ends with fields counts as followed too.
+        """
+        if self.is_chunked:
+            return self.last != _LAST_CHUNK
+        if self.body_count is None:
+            return False
+        return self.count > self.head_count + self.body_count
+
+
 class KeptStream(httpcore.AsyncNetworkStream):
     """Byte stream of a connection on which requests and answers alternate."""
 
@@ -40,7 +94,8 @@
         # Whether a request has been sent of whose answer nothing was read.
         self.is_sending = False
 
-        # Whether an answer has been read before.
+        # Bytes of the last answer, and whether there is one.
+        self.answer = AnswerBytes()
         self.is_reused = False
 
         # Time of the last read, in seconds, and how long the connection may
@@ -51,6 +106,9 @@
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
         """Read some bytes of an answer."""
         received = await self.stream.read(max_bytes, timeout)
+        if self.is_sending:
+            self.answer = AnswerBytes()
+        self.answer.add(received)
         self.is_sending = False
         self.is_reused = True
         self.last_read_at = read_clock()
@@ -83,13 +141,18 @@
         """Return what is known of the connection, see ``httpcore``.
 
         The pool closes idle connections that are readable, as the server has
-        closed them. Those that it is about to close count as readable too.
+        closed them. Those that it is about to close, and those of which more
+        than the last answer has been read, count as readable too.
         """
-        is_expired = read_clock() - self.last_read_at > self.idle_seconds
-        if info == _IS_READABLE and is_expired:
+        if info == _IS_READABLE and not self.is_reusable():
             return True
         return self.stream.get_extra_info(info)
 
+    def is_reusable(self) -> bool:
+        """Return whether what was read allows to use the connection again."""
+        is_expired = read_clock() - self.last_read_at > self.idle_seconds
+        return not (is_expired or self.answer.is_followed())
+
 
 class _Backend(httpcore.AsyncNetworkBackend):
     def __init__(self) -> None:
@@ -134,6 +197,7 @@
         if isinstance(stream, KeptStream):
             announced = find_idle_seconds(response.headers)
             stream.idle_seconds = min(self.idle_seconds, announced)
+            stream.answer.record_head(response, request.method)
         return response
 
 
