--- a/cranberryrelay/platform/tests/test_store_connections.py
+++ b/cranberryrelay/platform/tests/test_store_connections.py
@@ -10,12 +10,14 @@
 
 import trio
 from nose2.tools import params
+from trio.testing import MockClock, wait_all_tasks_blocked
 
 from cranberryrelay.codes import ResultCode
 from cranberryrelay.platform import TargetStore, open_target_store
 from cranberryrelay.relay import KindRecord, StorePosition
 
 LOOPBACK = '127.0.0.1'
+SILENCE_SECONDS = 1.5
 HEAD_END = b'\r\n\r\n'
 RECORD = b'{"metadata":{"name":"n","revision":3},"spec":{}}'
 ANSWER = b'HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n%b' % (
@@ -86,6 +88,37 @@
             await self.streams[0].aclose()
 
 
+class SilentStore:
+    """Answers each call after a silence, in virtual time."""
+
+    def __init__(self, clock: MockClock) -> None:
+        self.clock = clock
+        self.calls = 0
+
+    async def answer(self, stream: trio.SocketStream) -> None:
+        """Answer the calls of one connection."""
+        while HEAD_END in await stream.receive_some():
+            self.calls += 1
+            self.clock.jump(SILENCE_SECONDS)
+            await wait_all_tasks_blocked()
+            await stream.send_all(ANSWER)
+
+
+async def call_silent(call: Any, clock: MockClock) -> tuple[ResultCode, int]:
+    """Return the outcome of a call, and how many were received."""
+    server = SilentStore(clock)
+    listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+    port = listeners[0].socket.getsockname()[1]
+    async with (
+        trio.open_nursery() as nursery,
+        open_target_store(f'http://{LOOPBACK}:{port}') as store,
+    ):
+        nursery.start_soon(trio.serve_listeners, server.answer, listeners)
+        code = await call(store)
+        nursery.cancel_scope.cancel()
+    return code, server.calls
+
+
 async def call_twice(case: Case) -> tuple[ResultCode, int]:
     """Return the outcome of the second call, and how many were received."""
     server = ClosingStore(case)
@@ -112,3 +145,10 @@
     def test_closed_connection(self, case: Case) -> None:
         code, calls = trio.run(call_twice, case)
         self.assertEqual((code, calls), (case.code, 2))
+
+    # Guards against giving up a call of a store that is silent for a second.
+    @params(read_record, replace_record)
+    def test_silence_is_waited_for(self, call: Any) -> None:
+        clock = MockClock()
+        outcome = trio.run(call_silent, call, clock, clock=clock)
+        self.assertEqual(outcome, (ResultCode.ANSWERED, 1))
--- a/cranberryrelay/relay/tests/test_kept_connections.py
+++ b/cranberryrelay/relay/tests/test_kept_connections.py
@@ -467,6 +467,39 @@
         self.assertEqual(outcome, (['ok', 'ok', 'ok'], 1))
 
 
+async def leave(sent: bytes) -> tuple[str, int]:
+    """Leave r1 once a part of its answer was sent; return what r2 meets."""
+    is_sent = trio.Event()
+
+    async def act(stream: trio.SocketStream) -> None:
+        if sent:
+            await stream.send_all(sent)
+        is_sent.set()
+        await trio.sleep_forever()
+
+    async with open_site(ONCE, Role.PLAIN) as site:
+        upstream = site.upstreams[0]
+        assert await site.send('r0') == 'ok'
+        upstream.acts_on = 'r1'
+        upstream.act = act
+        async with trio.open_nursery() as caller:
+            caller.start_soon(site.send, 'r1')
+            await is_sent.wait()
+            await wait_all_tasks_blocked()
+            caller.cancel_scope.cancel()
+        return await site.send('r2'), len(upstream.streams)
+
+
+class LeftCallTest(TestCase):
+    """The connection of a call whose caller has left isn't used again."""
+
+    # Guards against the rest of an answer in the answer to the next request.
+    @params(0, 1, 30, len(make_answer(Received('r1', ''))) - 1)
+    def test_connection_is_closed(self, sent_bytes: int) -> None:
+        sent = make_answer(Received('r1', ''))[:sent_bytes]
+        self.assertEqual(trio.run(leave, sent), ('ok', 2))
+
+
 class IdleCase(NamedTuple):
     """A row: what an upstream says, and whether a connection is used again."""
 
