Test the watcher with an odd entry in its answers

Seventeen rows, in virtual time: the watcher lists and watches beside an entry that cannot be read or has no name, and follows the good ones.

--- a/cranberryrelay/platform/tests/test_odd_store_entries.py
+++ b/cranberryrelay/platform/tests/test_odd_store_entries.py
@@ -6,6 +6,7 @@
 
 import json
 import logging
+import random
 from typing import Any, NamedTuple
 from unittest import TestCase
 
@@ -15,6 +16,7 @@
 from hypothesis import strategies as st
 from nose2.tools import params
 from result import Result
+from trio.testing import MockClock
 
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.platform import decode_upstream
@@ -25,7 +27,10 @@
 )
 from cranberryrelay.platform._target_store import ERA_HEADER, TargetStore
 from cranberryrelay.relay import KindListing, KindRecord, RecordChange
+from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
 from cranberryrelay.relay.tests.fixtures import at
+from cranberryrelay.relay.tests.test_odd_records import make_replica
+from cranberryrelay.timing import open_timer_service
 
 KIND = 'servers'
 ODD_NAME = 'i-odd'
@@ -189,6 +194,51 @@
         self.assertEqual(odd.position, at(case.revision))
 
 
+async def follow_upstreams(odd: bytes) -> list[str]:
+    """Return the upstreams after a listing and a change with an odd entry."""
+    bodies = [make_page(GOOD_BEFORE, odd), make_events(odd, GOOD_AFTER)]
+
+    async def answer(_: httpx.Request) -> httpx.Response:
+        if not bodies:
+            await trio.sleep_forever()
+        headers = {ERA_HEADER: '1'}
+        return httpx.Response(200, headers=headers, content=bodies.pop(0))
+
+    replica = make_replica()
+    callbacks = WatchCallbacks(
+        KIND,
+        replica.apply_upstream_listing,
+        replica.apply_upstream_changes,
+        replica.state.record_store_contact,
+        needs_watch=lambda: True,
+        batch_seconds=float,
+    )
+    async with (
+        httpx.AsyncClient(
+            transport=httpx.MockTransport(answer), base_url='http://10.0.0.1'
+        ) as client,
+        open_timer_service() as timers,
+    ):
+        watcher = KindWatcher(
+            TargetStore(client), callbacks, timers, random.Random(1)
+        )
+        with trio.move_on_after(30):
+            await watcher.run()
+    return sorted(replica.state.fleet.upstreams)
+
+
+class WatcherTest(TestCase):
+    """The watcher of the upstreams, in virtual time."""
+
+    # Guards against a watcher that ends, or that asks for the same answer again
+    # and again, because of one entry.
+    @params(*((case,) for case in (*UNREADABLE_CASES, *NAMELESS_CASES)))
+    def test_watcher_follows_the_good_entries(self, case: OddCase) -> None:
+        clock = MockClock(autojump_threshold=0)
+        followed = trio.run(follow_upstreams, case.odd, clock=clock)
+        self.assertEqual(followed, GOOD_NAMES)
+
+
 plain_values = st.recursive(
     st.none()
     | st.booleans()
