Let the last event of a record tell whether it exists

An engine whose entry was removed and written again while an instance did not read the watch (it was cut off, frozen, or batches changes beside hubs) got no requests from that instance until its entry changed once more; with no other engine, requests were refused.

Cause: an answer to a watch holds the events in their order, but they were sorted into changed and removed records without it. Changed ones are applied first, so a removal in the same answer undid the entry that followed it.

Evidence: test_missed_changes, with the client and the stand-in of the store; before, 2 of 5 rows fail ("removed and back", "removed, back and changed"): AssertionError: Items in the second set but not the first:

Change: a record counts as removed if its last event says so. Records that were changed and then removed are still named as changed, so that the version of an engine that came and left is known.

After: 5 of 5 pass; test_store_replica, test_restored_store and test_target_adapter pass.

--- a/cranberryrelay/platform/_store_documents.py
+++ b/cranberryrelay/platform/_store_documents.py
@@ -115,10 +115,13 @@
 
 def _to_change(era: int, answer: _Events) -> RecordChange:
     changed = [event.object for event in answer.events if not event.removed]
-    removed = [event.object for event in answer.events if event.removed]
+    # Of several events of a record the last one tells whether it exists.
+    is_removed = {
+        event.object.metadata.name: event.removed for event in answer.events
+    }
     return RecordChange(
         changed=tuple(_to_record(one, era) for one in changed),
-        removed=tuple(one.metadata.name for one in removed),
+        removed=tuple(name for name, gone in is_removed.items() if gone),
         position=StorePosition(era, answer.store_revision),
     )
 
