--- a/cranberryrelay/soak/_run.py
+++ b/cranberryrelay/soak/_run.py
@@ -98,6 +98,9 @@
     # Violations of promises.
     violations: tuple[Violation, ...]
 
+    # Periods in which parts were disturbed.
+    disturbances: tuple[Disturbance, ...]
+
 
 async def run_soak(plan: SoakPlan, folder: Path) -> SoakReport:
     """Run the soak; its logs, settings and records of runs go to the folder."""
@@ -125,6 +128,7 @@
         sent=len(evidence.outcomes),
         answered=answered,
         violations=tuple(find_violations(evidence)),
+        disturbances=evidence.disturbances,
     )
 
 
--- a/cranberryrelay/soak/tests/test_soak.py
+++ b/cranberryrelay/soak/tests/test_soak.py
@@ -68,7 +68,7 @@
                 self.assertGreater(report.answered, 0)
                 promises = {one.promise for one in report.violations}
                 if case.promise:
-                    self.assertIn(case.promise, promises)
+                    self.assertIn(case.promise, promises, report.disturbances)
                 else:
                     self.assertEqual(report.violations, ())
 
