Answer all requests before the end of a planned stop

Callers whose requests were sent late in the grace of a planned stop, or still ran at its end, read an end of file and no answer. A request whose body was complete late in the grace was taken and passed on with little time left.

Cause: the stop changed only the readiness and the Connection header. No time limit knew of it, and the end of the grace cancelled the handlers.

SIGTERM sets the end of the answers, 1.2 s before the end of the grace, for requests in progress, in the queue, with a body on its way, and forwarded by peers. The servers close what is left 0.3 s after the end of the answers; before, they did so at that moment. Engines are told no more time than that.

Why it works: the limit is a cancel scope around each request whose deadline the stop sets, so it doesn't matter what the request waits for, and a silent engine ends no answer sooner.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -82,6 +82,7 @@
     UPSTREAM_REPLACED = 4109
     ANSWER_TOO_LARGE = 4110
     UPSTREAM_CLOSED = 4111
+    STOPPED_MIDWAY = 4112
 
     ORDER_FENCED = 5101
     LEASE_LOST = 5102
@@ -374,6 +375,11 @@
             _NOT_RUN,
             1,
         ),
+        ResultCode.STOPPED_MIDWAY: CodeEntry(
+            'this instance stopped before the answer was whole',
+            HTTPStatus.BAD_GATEWAY,
+            _MAY_HAVE_RUN,
+        ),
         ResultCode.ORDER_FENCED: CodeEntry(
             'the order carries an old fencing token', HTTPStatus.CONFLICT
         ),
--- a/cranberryrelay/relay/_caller_servers.py
+++ b/cranberryrelay/relay/_caller_servers.py
@@ -27,6 +27,10 @@
 
 # Part of the grace after SIGTERM reserved for the last bytes and the exit.
 SHUTDOWN_MARGIN_SECONDS: Final = 1.2
+
+# Part of this margin in which the last answers are written and streams are
+# broken off, before the servers close what is left.
+CLOSE_SECONDS: Final = 0.3
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -40,7 +44,10 @@
     settings = tools.state.settings
     grace_seconds = settings.bounds.grace_seconds
     drain_seconds = (
-        grace_seconds - DEREGISTRATION_SECONDS - SHUTDOWN_MARGIN_SECONDS
+        grace_seconds
+        - DEREGISTRATION_SECONDS
+        - SHUTDOWN_MARGIN_SECONDS
+        + CLOSE_SECONDS
     )
     unanswered = UnansweredRequests(tools)
     trigger = DrainTrigger(tools, peers, stop)
@@ -86,8 +93,9 @@
 class DrainTrigger:
     """Delays the server's shutdown until the load balancer has reacted.
 
-    After the trigger the HTTP server closes idle connections, and running
-    requests may end within the rest of the grace.
+    After the trigger the HTTP server closes idle connections, requests that
+    have not been admitted are refused, and running ones may end within the rest
+    of the grace.
     """
 
     def __init__(
@@ -107,6 +115,10 @@
         await self.stop.wait()
         state = self.tools.state
         state.draining = True
+        grace_seconds = state.settings.bounds.grace_seconds
+        state.planned_stop.begin(
+            self.tools.timers.now() + grace_seconds - SHUTDOWN_MARGIN_SECONDS
+        )
         self.peers.send_farewell()
         _LOG.info('draining', extra={'active': len(state.active)})
         await self.tools.timers.pause(DEREGISTRATION_SECONDS)
@@ -116,4 +128,5 @@
             for one in state.active.values()
         ]
         _LOG.info('stops accepting requests', extra={'left': unfinished})
+        state.planned_stop.refusing = True
         self.reached.set()
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -1,5 +1,6 @@
 """HTTP interfaces for callers and for the readiness check of the balancer."""
 
+import logging
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack
 from http import HTTPStatus
@@ -32,6 +33,10 @@
     REVISION_HEADER,
 )
 from cranberryrelay.relay._pipeline import RelayPipeline
+from cranberryrelay.relay._planned_stop import (
+    ANSWER_SECONDS,
+    find_stop_failure,
+)
 from cranberryrelay.relay._requests import IncomingRequest, RawHeaders
 from cranberryrelay.relay._state import ActiveRequest
 from cranberryrelay.relay._unexpected_errors import record_unexpected
@@ -63,6 +68,7 @@
 # Keys of the state of an ASGI scope.
 _STACK: Final = 'cranberryrelay.stack'
 _PROGRESS: Final = 'cranberryrelay.progress'
+_LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
 class FrontRoutes:
@@ -76,7 +82,32 @@
         self.pipeline = RelayPipeline(context)
 
     async def handle_request(self) -> Response:
-        """Handle any request of a caller."""
+        """Handle any request of a caller, within the time of a stop."""
+        with self.context.state.planned_stop.limit_time():
+            return await self.answer_request()
+        return self.end_by_stop()
+
+    def end_by_stop(self) -> Response:
+        """Make the answer to a request for which a stop leaves no time."""
+        progress = request.scope['state'][_PROGRESS]
+        failure = find_stop_failure(may_have_run=progress.may_have_run)
+        arrival = read_request(b'', 0)
+        _LOG.info(
+            'request ended by the stop',
+            extra={
+                'request_id': self.context.dialect.parse_request(
+                    arrival
+                ).request_id,
+                'code': failure.code.value,
+                'ran': failure.ran,
+                'passed_on': progress.passed_on,
+            },
+        )
+        self.context.state.telemetry.count_request(None, failure.code)
+        return self.refuse(failure)
+
+    async def answer_request(self) -> Response:
+        """Read the whole request, run it, and make its response."""
         arrived_at = self.context.timers.now()
         stack: AsyncExitStack = request.scope['state'][_STACK]
         body: Any = await request.get_data(as_text=False)
@@ -281,7 +312,9 @@
         try:
             async with AsyncExitStack() as stack:
                 scope['state'][_STACK] = stack
-                await super().__call__(scope, receive, send)
+                # A stop breaks off a stream that is still being sent.
+                with self.context.state.planned_stop.limit_time(ANSWER_SECONDS):
+                    await super().__call__(scope, receive, send)
         finally:
             active.pop(id(scope))
 
--- a/cranberryrelay/relay/_pipeline.py
+++ b/cranberryrelay/relay/_pipeline.py
@@ -28,6 +28,7 @@
 from cranberryrelay.relay._forwarding import Forwarder
 from cranberryrelay.relay._model_path import ModelRun
 from cranberryrelay.relay._plain_path import PlainRun
+from cranberryrelay.relay._planned_stop import find_stop_failure
 from cranberryrelay.relay._requests import IncomingRequest
 from cranberryrelay.relay._unexpected_errors import record_unexpected
 
@@ -97,10 +98,12 @@
     ) -> Result[AdmittedRequest, Failure]:
         """Find the route and pin the request to the revision in force.
 
-        Errors: ``NOT_READY``, ``ROUTE_UNKNOWN``, ``HEADER_TOO_LARGE``,
-        ``BODY_TOO_LARGE``, ``REQUEST_MALFORMED``.
+        Errors: ``DRAINING``, ``NOT_READY``, ``ROUTE_UNKNOWN``,
+        ``HEADER_TOO_LARGE``, ``BODY_TOO_LARGE``, ``REQUEST_MALFORMED``.
         """
         state = self.context.state
+        if state.planned_stop.refusing:
+            return Err(find_stop_failure(may_have_run=False))
         if state.table is None or not state.start_check.passed:
             return Err(
                 fail(
@@ -125,7 +128,10 @@
                 route=route,
                 service=route.pick_service(request.stream_id()),
                 revision=state.table.revision,
-                deadline=_deadline_of(request, route),
+                deadline=min(
+                    _deadline_of(request, route),
+                    state.planned_stop.streams_end_at(),
+                ),
                 stack=stack,
             )
         )
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -25,6 +25,7 @@
 from cranberryrelay.relay._forward_targets import ActiveCount, ForwardTargets
 from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._placement import PlacementContext
+from cranberryrelay.relay._planned_stop import PlannedStop
 from cranberryrelay.relay._prefix_index import CachedSegment, PrefixIndex
 from cranberryrelay.relay._rate_limits import RateLimits
 from cranberryrelay.relay._requests import PromptSegment
@@ -105,6 +106,7 @@
         self.heartbeat_sender = channel[0]
         self.heartbeat_requests = channel[1]
         self.draining = False
+        self.planned_stop = PlannedStop()
         self.active: dict[int, ActiveRequest] = {}
         self.live_instances = 1
         self.unreachable_kinds: set[str] = set()
--- a/cranberryrelay/serving/_http_connection.py
+++ b/cranberryrelay/serving/_http_connection.py
@@ -183,11 +183,17 @@
                     UnansweredRequest(
                         scope,
                         trio.current_time() - started_at,
-                        self.end_reason or EndReason.INTERNAL_ERROR,
+                        self.end_reason or self.find_reason(watch.detail),
                         watch.detail,
                     )
                 )
 
+    def find_reason(self, detail: str) -> EndReason:
+        """Return why the app ended a request; ``detail`` has its error."""
+        if self.limits.stopped and not detail:
+            return EndReason.PLANNED_STOP
+        return EndReason.INTERNAL_ERROR
+
     def is_broken(self) -> bool:
         """Return whether the connection has ended before its answer."""
         return self.end_reason is not None
