Let idle connections follow a raised idle limit

Beside a release note with another idle limit, connections were closed while their callers still went by a longer limit, and requests sent at that moment met the close.

Cause: the limit was read once, as the connection became idle. A raised limit did not reach connections that were idle already.

Change: the reader looks at the limits again as the time of its connection ends, and the longest that the server has seen in force since it became idle counts. A lowered limit applies to connections that become idle after it, as callers may still use the others under the note before. A limit is seen whenever a connection of the server becomes idle or reaches its time; one that no connection met does not count afterwards.

--- a/cranberryrelay/serving/_http_connection.py
+++ b/cranberryrelay/serving/_http_connection.py
@@ -72,8 +72,8 @@
     # Whether the server has stopped: idle connections are closed.
     stopped: bool
 
-    def read_idle_seconds(self) -> float:
-        """Return how long a connection may be idle."""
+    def find_idle_seconds(self, idle_since: float) -> float:
+        """Return how long a connection may be idle that is since a time."""
 
     def read_head_seconds(self) -> float:
         """Return how long the head of a request may take."""
@@ -241,7 +241,7 @@
             return since + self.limits.read_head_seconds()
         if self.limits.stopped:
             return -inf
-        return since + self.limits.read_idle_seconds()
+        return since + self.limits.find_idle_seconds(since)
 
     def apply_stop(self) -> None:
         """Close the connection if it is idle, as the server has stopped."""
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -18,6 +18,7 @@
     HttpConnection,
     HttpServices,
 )
+from cranberryrelay.serving._idle_limits import IdleLimits
 from cranberryrelay.serving._unanswered import (
     Send,
     UnansweredLog,
@@ -50,8 +51,8 @@
     # Time that running requests get to finish after the shutdown trigger.
     grace_seconds: float
 
-    # Returns the seconds after which an idle connection is closed; called each
-    # time a connection becomes idle.
+    # Returns the seconds after which an idle connection is closed. A changed
+    # limit applies to idle connections if it is longer than the one before.
     read_idle_seconds: Callable[[], float]
 
     # Returns the seconds that the head of a request may take from its first
@@ -118,6 +119,7 @@
     ) -> None:
         self.config = config
         self.options = options
+        self.idle_limits = IdleLimits(options.read_idle_seconds)
         self.stopped = False
         self.connections: set[HttpConnection] = set()
         self.all_closed = trio.Event()
@@ -130,9 +132,9 @@
             options.observe_unanswered or UnansweredLog().write,
         )
 
-    def read_idle_seconds(self) -> float:
-        """Return how long a connection may be idle."""
-        return self.options.read_idle_seconds()
+    def find_idle_seconds(self, idle_since: float) -> float:
+        """Return how long a connection may be idle that is since a time."""
+        return self.idle_limits.find_longest(idle_since, trio.current_time())
 
     def read_head_seconds(self) -> float:
         """Return how long the head of a request may take."""
