Keep a server running beside connections that fail

One request of any caller ended the server, and with it all requests in progress and, as a task of the process had failed, the process.

This adds the other two requests that were found, and bounds the lines.

Change: three rows in test_unanswered; at most 20 lines 'connection failed' a second; only HTTP requests are reported as not answered, as a websocket has no answer.

--- a/cranberryrelay/serving/_http_connection.py
+++ b/cranberryrelay/serving/_http_connection.py
@@ -178,7 +178,7 @@
                     scope, receive, watch.send, sync_spawn, call_soon
                 )
         finally:
-            if not watch.complete:
+            if scope['type'] == 'http' and not watch.complete:
                 self.services.observe_unanswered(
                     UnansweredRequest(
                         scope,
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -20,6 +20,8 @@
 )
 from cranberryrelay.serving._idle_limits import IdleLimits
 from cranberryrelay.serving._unanswered import (
+    LINES_PER_SECOND_LIMIT,
+    LineLimit,
     Send,
     UnansweredLog,
     UnansweredObserver,
@@ -121,6 +123,7 @@
         self.options = options
         self.idle_limits = IdleLimits(options.read_idle_seconds)
         self.stopped = False
+        self.failure_lines = LineLimit(LINES_PER_SECOND_LIMIT)
         self.connections: set[HttpConnection] = set()
         self.all_closed = trio.Event()
         self.services = HttpServices(
@@ -188,7 +191,10 @@
             await connection.run()
         except Exception as error:
             # One connection does not end the others.
-            _LOG.exception('connection failed', extra={'detail': repr(error)})
+            if self.failure_lines.take(trio.current_time()):
+                _LOG.exception(
+                    'connection failed', extra={'detail': repr(error)}
+                )
         finally:
             self.connections.discard(connection)
             if not self.connections:
--- a/cranberryrelay/serving/tests/test_unanswered.py
+++ b/cranberryrelay/serving/tests/test_unanswered.py
@@ -27,10 +27,19 @@
 
 STALLED_SECONDS: Final = 0.2
 
-# An upgrade that can't be carried out.
-BAD_UPGRADE: Final = (
+# Upgrades that can't be carried out.
+BAD_SETTINGS: Final = (
     b'GET / HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\nHTTP2-Settings: AAAA\r\n\r\n'
 )
+BAD_WEBSOCKET: Final = (
+    b'GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n'
+    b'Upgrade: websocket\r\nSec-WebSocket-Version: 13\r\n'
+    b'Sec-WebSocket-Key: x\r\n\r\n\xff\xff'
+)
+BAD_SUBPROTOCOL: Final = (
+    b'GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n'
+    b'Upgrade: websocket\r\nSec-WebSocket-Protocol: \xff\r\n\r\n'
+)
 
 
 class Ending(NamedTuple):
@@ -111,8 +120,9 @@
 
     # Guards against a server that ends, with all its requests, as one of its
     # connections raises an error.
-    def test_other_connections_go_on(self) -> None:
-        answer = trio.run(request_beside_failure, clock=MockClock())
+    @params((BAD_SETTINGS,), (BAD_WEBSOCKET,), (BAD_SUBPROTOCOL,))
+    def test_other_connections_go_on(self, content: bytes) -> None:
+        answer = trio.run(request_beside_failure, content, clock=MockClock())
         self.assertTrue(answer.endswith(ANSWER))
 
 
@@ -142,7 +152,7 @@
         return list(served.unanswered)
 
 
-async def request_beside_failure() -> bytes:
+async def request_beside_failure(content: bytes) -> bytes:
     """Return the answer to a request that is sent after a failure."""
     clock = trio.lowlevel.current_clock()
     assert isinstance(clock, MockClock)
@@ -150,6 +160,6 @@
         other = Caller('other', served.port)
         await other.exchange(make_request('/first'))
         failing = Caller('failing', served.port)
-        failing.send(BAD_UPGRADE)
-        await failing.read()
+        failing.send(content)
+        await trio.testing.wait_all_tasks_blocked(STALLED_SECONDS)
         return await other.exchange(make_request('/second'))
