Keep a stream whole if its engine breaks off while the backup is asked

A stream was cut if its silent engine broke off in the moments in which the engine with the backup was asked: the break cancelled the switch, and the backup was taken for spent. A process that stood still asked the backup though the events had arrived, which cost a retry and the backup. And nothing limited the time in which both engines had the request; beyond 0.4 s the former counts as a second run.

Evidence, test_silent_streams with the code before, ten new checks: reset, cut and late reset during the switch: "None != b'id: 1..."; a backup that accepts after 0.6 and 5 s: "0.6 not less than 0.4", "2.25 not less than 0.4"; events that waited: "[2.9] != []" in one of three runs, as the order of tasks is drawn. 17 or 18 passed, 6 or 5 failed.

Change: a break waits for the answer of the backup, and events alone cancel it; then the backup stays. The switch has 0.3 s, after which the silent engine is waited for. Before it the event loop gets a turn in which what has arrived is read.

After: 23 passed, six runs of six.

--- a/cranberryrelay/relay/_events.py
+++ b/cranberryrelay/relay/_events.py
@@ -3,6 +3,8 @@
 import re
 from typing import Final, NamedTuple
 
+from cranberryrelay.codes import Failure
+
 # Largest event of a stream, in bytes; a few tokens take far less.
 EVENT_BYTES_LIMIT: Final = 1_000_000
 _END: Final = b'\n\n'
@@ -49,6 +51,12 @@
         """Return whether the incomplete event exceeds the limit."""
         return len(self.incomplete) > EVENT_BYTES_LIMIT
 
+    def is_broken_by(self, chunk: bytes | Failure | None) -> bool:
+        """Return whether a chunk, or the end (None), breaks the stream off."""
+        return isinstance(chunk, Failure) or (
+            chunk is None and bool(self.incomplete)
+        )
+
     def feed(self, chunk: bytes) -> list[Event]:
         """Add a chunk and return the events that it completes."""
         parts = (self.incomplete + chunk).split(_END)
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -33,7 +33,7 @@
 )
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import KvSource, UpstreamCall
-from cranberryrelay.relay._stalled_read import read_or_replace
+from cranberryrelay.relay._stalled_read import StalledRead
 from cranberryrelay.relay._upstream_call import (
     UNSENT_CODES,
     UpstreamResponse,
@@ -54,6 +54,11 @@
 STALL_FACTOR: Final = 5.0
 STALL_SECONDS: Final = 1.75
 
+# Longest time for which the silent engine and the one with the backup may both
+# have the request: a run that is still at the former 0.4 s after the latter has
+# taken it counts as a second one.
+SWITCH_SECONDS: Final = 0.3
+
 # Refusals by decode engines with which the KV cache of the prompt is still
 # used.  After more, the prefill is repeated, as the cache may be gone.
 REFUSALS_LIMIT: Final = 1
@@ -433,21 +438,26 @@
         """Go on from the backup while the engine is silent; None if not.
 
         The silent engine stays the one that generates until the other one has
-        accepted.
+        accepted, in ``SWITCH_SECONDS``.  If its stream goes on before that, the
+        backup stays as well.
         """
+        backup = self.backup_engine
         silent = self.engine, self.engine_event_count, self.generation_sent_at
-        switched: UpstreamResponse | None = None
+        response: UpstreamResponse | None = None
+        decided = False
         try:
-            outcome = await self.resume_from_backup(_SILENT)
-            response = outcome.ok()
-            if response is not None and response.status == HTTPStatus.OK:
-                switched = response
+            with limit_time(SWITCH_SECONDS):
+                response = (await self.resume_from_backup(_SILENT)).ok()
+                decided = True
         finally:
-            if switched is None:
+            if not decided:
+                self.backup_engine = backup
+            if response is None or response.status != HTTPStatus.OK:
                 self.restore_engine(*silent)
-        if response is not None and switched is None:
-            await response.close()
-        return switched
+        if response is None or response.status == HTTPStatus.OK:
+            return response
+        await response.close()
+        return None
 
     def restore_engine(
         self, engine: Upstream | None, event_count: int, sent_at: float
@@ -470,7 +480,7 @@
         splitter = EventSplitter()
         chunks = response.chunks()
         while True:
-            chunk = await self.next_chunk(chunks)
+            chunk = await self.next_chunk(chunks, splitter)
             if isinstance(chunk, Failure | UpstreamResponse):
                 yield chunk
                 return
@@ -520,22 +530,23 @@
             self.last_event_number = event.number
 
     async def next_chunk(
-        self, chunks: AsyncIterator[bytes]
+        self, chunks: AsyncIterator[bytes], splitter: EventSplitter
     ) -> bytes | Failure | UpstreamResponse | None:
         """Return the next chunk, None at the end of the body, or a failure.
 
         A response is that of another engine which has taken the place of a
         silent one.
         """
-        read = partial(read_chunk, chunks)
         with limit_time(self.remaining_seconds()):
             if self.backup_engine is None or not self.log.event_count:
-                return await read()
-            return await read_or_replace(
-                read,
+                return await read_chunk(chunks)
+            stalled_read = StalledRead(
+                partial(read_chunk, chunks),
                 self.switch_to_backup,
-                find_stall_seconds(self.admitted.route),
-                self.context.timers,
+                splitter.is_broken_by,
+            )
+            return await stalled_read.run(
+                find_stall_seconds(self.admitted.route), self.context.timers
             )
         return fail(
             ResultCode.DEADLINE_PASSED,
--- a/cranberryrelay/relay/tests/test_silent_streams.py
+++ b/cranberryrelay/relay/tests/test_silent_streams.py
@@ -42,6 +42,11 @@
 LONG_SILENCE_SECONDS = 1.9
 SHORT_SILENCE_SECONDS = 1.2
 
+# Moment at which a switch to the backup is on its way, and the time until a
+# reset after that.
+DURING_SWITCH_SECONDS = 1.8
+LATE_SECONDS = 0.5
+
 # More retries than the budget has.
 RETRIES = 100
 
@@ -50,17 +55,30 @@
 
 
 class SilentBody(httpx.AsyncByteStream):
-    """Events of a stream with a pause after the first."""
+    """Events of a stream with a pause after the first.
+
+    ``ending`` is what follows: 'whole' for the other events, 'reset', 'cut'
+    for half an event and an end, or 'late reset' for an event and a reset.
+    """
 
-    def __init__(self, silence_seconds: float) -> None:
+    def __init__(self, silence_seconds: float, ending: str = 'whole') -> None:
         self.silence_seconds = silence_seconds
+        self.ending = ending
         self.closed_at = float('inf')
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         yield EVENTS[0]
         await trio.sleep(self.silence_seconds)
-        for event in EVENTS[1:]:
-            yield event
+        if self.ending == 'whole':
+            for event in EVENTS[1:]:
+                yield event
+        elif self.ending == 'cut':
+            yield EVENTS[1][:4]
+        elif self.ending == 'late reset':
+            yield EVENTS[1]
+            await trio.sleep(LATE_SECONDS)
+        if self.ending.endswith('reset'):
+            raise httpx.ReadError('reset')
 
     async def aclose(self) -> None:
         """Record when the relay closes the stream."""
@@ -78,6 +96,10 @@
     silence_seconds: float = LONG_SILENCE_SECONDS
     budget_spent: bool = False
     backup_rests: bool = False
+    ending: str = 'whole'
+
+    # Time that the backup takes to accept.
+    accept_seconds: float = 0
 
 
 CASES = (
@@ -90,6 +112,17 @@
     Case('retry budget spent', budget_spent=True),
     Case('backup has asked for rest', backup_rests=True),
     Case('a short silence', 'no copy', SHORT_SILENCE_SECONDS),
+    *(
+        Case(
+            f'{ending} while the backup is asked',
+            '',
+            DURING_SWITCH_SECONDS,
+            ending=ending,
+            accept_seconds=0.1,
+        )
+        for ending in ('whole', 'reset', 'cut', 'late reset')
+    ),
+    Case('backup accepts late', accept_seconds=0.6),
 )
 
 
@@ -101,22 +134,31 @@
         self.body = SilentBody(case.silence_seconds)
         self.switched_at: list[float] = []
 
+        # When the relay gave up calls that go on from the backup.
+        self.given_up_at: list[float] = []
+
     async def respond(self, request: httpx.Request) -> httpx.Response:
         """Respond as the engine at the address of the request."""
         if request.headers.get('X-Cranberryrelay-Stage'):
             return respond_with(PREFILL_RESPONSE)
         source = request.headers[SOURCE_HEADER].partition('/')[2]
         if source == 'h':
-            self.body = SilentBody(self.case.silence_seconds)
+            self.body = SilentBody(self.case.silence_seconds, self.case.ending)
             headers = {ID_HEADER: 'r1'}
             return httpx.Response(200, headers=headers, stream=self.body)
         self.switched_at.append(trio.current_time())
-        return await self.answer_switch()
+        last = int(request.headers['Last-Event-Id'])
+        try:
+            return await self.answer_switch(EVENTS[last:])
+        except trio.Cancelled:
+            self.given_up_at.append(trio.current_time())
+            raise
 
-    async def answer_switch(self) -> httpx.Response:
+    async def answer_switch(self, rest: tuple[bytes, ...]) -> httpx.Response:
         """Answer the call that goes on from the backup."""
         headers = {ID_HEADER: 'r1'}
         fault = self.case.fault
+        await trio.sleep(self.case.accept_seconds)
         if fault == 'unreachable':
             raise httpx.ConnectError('refused')
         if fault == 'reset':
@@ -128,7 +170,7 @@
             return httpx.Response(503, headers=refusal)
         if fault == 'error':
             return httpx.Response(500, headers=headers)
-        return respond_with(EVENTS[1:])
+        return respond_with(rest)
 
 
 class SilentStreamTest(TestCase):
@@ -148,6 +190,27 @@
         run_in_virtual_time(serve_stream, engines)
         self.assertEqual(engines.switched_at, [engines.body.closed_at])
 
+    # Guards against a silent engine and one with the backup that both work on
+    # a request, which counts as a second run after 0.4 s.
+    @params(0.2, 0.35, 0.6, 5.0)
+    def test_two_engines_have_the_request_only_shortly(
+        self, accept_seconds: float
+    ) -> None:
+        case = Case('', silence_seconds=4, accept_seconds=accept_seconds)
+        engines = Engines(case)
+        content = run_in_virtual_time(serve_stream, engines)
+        self.assertEqual(content, WHOLE)
+        ended_at = min((engines.body.closed_at, *engines.given_up_at))
+        self.assertLess(ended_at - engines.switched_at[0], 0.4)
+
+    # Guards against a retry and a backup that are spent on events which arrived
+    # while this process stood still.
+    def test_events_that_waited_are_read_first(self) -> None:
+        engines = Engines(Case('', silence_seconds=SHORT_SILENCE_SECONDS))
+        clock = MockClock(autojump_threshold=0)
+        trio.run(serve_over_standstill, engines, clock, clock=clock)
+        self.assertEqual(engines.switched_at, [])
+
     # Guards against switching for a silence that a sound engine may have.
     def test_short_silence_is_waited_for(self) -> None:
         engines = Engines(Case('', silence_seconds=SHORT_SILENCE_SECONDS))
@@ -188,6 +251,14 @@
         return await pass_on(context)
 
 
+async def serve_over_standstill(engines: Engines, clock: MockClock) -> None:
+    """Serve one request in a process that stands still in the silence."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve_stream, engines)
+        await trio.sleep(1)
+        clock.jump(LONG_SILENCE_SECONDS)
+
+
 async def serve_streams(engines: Engines) -> int:
     """Return how many of the streams of one engine were complete."""
     bodies: list[bytes | None] = []
