--- a/cranberryrelay/soak/_faults.py
+++ b/cranberryrelay/soak/_faults.py
@@ -1,6 +1,7 @@
 """Draws the schedule of a run's faults from a seeded generator."""
 
 import random
+from collections.abc import Iterator
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -48,7 +49,6 @@
     (FaultKind.ALL_INSTANCES_KILL, 0.4),
     (FaultKind.UPSTREAM_KILL, 4),
     (FaultKind.UPSTREAM_PAUSE, 2),
-    (FaultKind.UPSTREAM_SILENCE, 4),
     (FaultKind.UPSTREAM_DRAIN, 2),
     (FaultKind.UPSTREAM_LINK, 3),
     (FaultKind.UPSTREAM_RESET, 3),
@@ -59,6 +59,11 @@
     (FaultKind.NOTES, 4),
 )
 
+# Silences of sound upstreams are drawn apart, so that a seed keeps the other
+# faults that it named before there were silences.
+SILENCE_WEIGHTS: Final = ((FaultKind.UPSTREAM_SILENCE, 1),)
+MEAN_SILENCE_INTERVAL_SECONDS: Final = 15.0
+
 # Planned work, which must not lose any request.
 PLANNED_KINDS: Final = frozenset(
     (
@@ -97,10 +102,27 @@
     rng: random.Random, seconds: float, layout: Layout
 ) -> list[ScheduledFault]:
     """Draw the faults of a run of the given length in seconds."""
-    kinds = [kind for kind, _ in WEIGHTS]
-    weights = [weight for _, weight in WEIGHTS]
+    faults = list(_draw_faults(rng, seconds, layout))
+    silences = _draw_faults(
+        random.Random(rng.random()),
+        seconds,
+        layout,
+        SILENCE_WEIGHTS,
+        MEAN_SILENCE_INTERVAL_SECONDS,
+    )
+    return sorted((*faults, *silences), key=lambda one: one.begins_at)
+
+
+def _draw_faults(
+    rng: random.Random,
+    seconds: float,
+    layout: Layout,
+    kind_weights: tuple[tuple[FaultKind, float], ...] = WEIGHTS,
+    interval_seconds: float = MEAN_INTERVAL_SECONDS,
+) -> Iterator[ScheduledFault]:
+    kinds = [kind for kind, _ in kind_weights]
+    weights = [weight for _, weight in kind_weights]
     begins_at = seconds * FAULT_START_FRACTION
-    scheduled: list[ScheduledFault] = []
     while begins_at < seconds * FAULT_END_FRACTION:
         kind = rng.choices(kinds, weights)[0]
         duration_seconds = rng.uniform(MIN_FAULT_SECONDS, MAX_FAULT_SECONDS)
@@ -108,13 +130,10 @@
             duration_seconds, seconds * FAULT_END_FRACTION - begins_at
         )
         target = rng.choice(_list_targets(kind, layout))
-        scheduled.append(
-            ScheduledFault(
-                begins_at, duration_seconds, kind, target, rng.random()
-            )
+        yield ScheduledFault(
+            begins_at, duration_seconds, kind, target, rng.random()
         )
-        begins_at += rng.expovariate(1 / MEAN_INTERVAL_SECONDS)
-    return scheduled
+        begins_at += rng.expovariate(1 / interval_seconds)
 
 
 def _list_targets(kind: FaultKind, layout: Layout) -> list[str]:
--- a/cranberryrelay/soak/_promises.py
+++ b/cranberryrelay/soak/_promises.py
@@ -382,7 +382,9 @@
     """Return whether an answer had begun and ended at its time limit."""
     seconds = outcome.ended_at - outcome.sent_at
     limit = STREAM_SECONDS if outcome.kind in STREAM_KINDS else CALL_SECONDS
-    return outcome.status is not None and seconds > limit - LIMIT_SLACK_SECONDS
+    late = seconds - limit
+    at_limit = -LIMIT_SLACK_SECONDS < late <= MARGIN_SECONDS
+    return outcome.status is not None and at_limit
 
 
 def _list_disturbances(
--- a/cranberryrelay/soak/tests/test_promises.py
+++ b/cranberryrelay/soak/tests/test_promises.py
@@ -142,6 +142,11 @@
         make_evidence(CUT._replace(ended_at=SENT_AT + 4.95)),
         '',
     ),
+    Case(
+        'stream interrupted long after its time limit',
+        make_evidence(CUT._replace(ended_at=SENT_AT + 6)),
+        'answered, time limits',
+    ),
     Case(
         'stream interrupted before its time limit',
         make_evidence(CUT._replace(ended_at=SENT_AT + 4.5)),
