Count peers that stop or are cut off as not having answered

Events of two software versions could still be joined where the store can't be reached by the instance that takes a stream up, and

- the stream was begun by an instance that had said that it stops, and is cut off: a farewell removed it from those that have to answer, though it serves for the grace;
- the stream was begun by one that had been silent for a minute, and the store had been reached since: its answer was taken for proof that silent peers had ended.
It says nothing of peers.

Change: a peer that is lost counts as not having answered until it certainly serves no more: a minute after the grace for one that stops, two hours for one that was silent. One that is heard again is no longer lost. Where all others answer, the store is asked at once, as before.

Cost: for these times an unknown stream needs the store's word, and is refused (3113) while the store is out as well.

--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -11,6 +11,8 @@
 
 from typing import Final, NamedTuple
 
+from cranberryrelay.relay._lost_peers import LostPeers
+
 # Largest fleet that uses a full mesh: at 16 instances it costs each instance
 # as many messages as a hub of 100 instances handles.
 FULL_MESH_LIMIT: Final = 16
@@ -28,6 +30,10 @@
 # A peer that has not answered for longer is removed.
 REMOVE_AFTER_SECONDS: Final = 60.0
 
+# A peer that was removed for that reason may be cut off and serve on; longer
+# than regions lose each other.
+LOST_RETAINED_SECONDS: Final = 7200.0
+
 # Most instances of a failure domain that are contacted while none of them is
 # responsive.
 HUB_CANDIDATES_LIMIT: Final = 3
@@ -81,9 +87,9 @@
         # Number of live instances of the fleet, as last reported by the hub.
         self.reported_fleet_size = 0
 
-        # Failure domains of the peers that were removed for not answering, by
-        # name; kept until the store has been reached since.
-        self.lost: dict[str, str] = {}
+        # Peers that were removed for not answering, or that are stopping, by
+        # name.
+        self.lost = LostPeers()
 
         # Set once this instance is about to stop and no longer acts as hub.
         self.leaving = False
@@ -103,7 +109,7 @@
         if known is not None and known.location == location:
             return False
         self.peers[name] = Peer(location, now)
-        self.lost.pop(name, None)
+        self.lost.discard(name)
         return True
 
     def record_message(self, name: str, now: float) -> bool:
@@ -163,7 +169,8 @@
             and now - peer.unanswered_since > REMOVE_AFTER_SECONDS
         ]
         for name in unresponsive:
-            self.lost[name] = self.peers[name].location.domain
+            domain = self.peers[name].location.domain
+            self.lost.add(name, domain, now + LOST_RETAINED_SECONDS)
             self.remove(name)
         return unresponsive
 
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -45,6 +45,7 @@
     StreamQuestion,
 )
 from cranberryrelay.relay._stream_versions import (
+    RETAINED_SECONDS,
     LeavingStreams,
     StreamSummary,
 )
@@ -592,6 +593,13 @@
 
 @dispatch_message.register
 def _(message: Farewell, protocol: PeerProtocol, sender: str) -> None:
+    peer = protocol.membership.peers.get(sender)
+    if peer is not None:
+        # Callers take streams up elsewhere that it begins until its grace ends.
+        grace_seconds = protocol.state.settings.bounds.grace_seconds
+        forget_at = protocol.timers.now() + grace_seconds + RETAINED_SECONDS
+        domain = peer.location.domain
+        protocol.membership.lost.add(sender, domain, forget_at)
     protocol.membership.remove(sender)
     forget_peer(protocol, sender)
     protocol.update_live_instances()
--- a/cranberryrelay/relay/_stream_inquiry.py
+++ b/cranberryrelay/relay/_stream_inquiry.py
@@ -201,12 +201,7 @@
             return False
         left = limit_seconds - (self.timers.now() - asked_at)
         limit = min(STORE_ANSWER_SECONDS, left)
-        confirmed = await self.store.confirm(asked_at, limit)
-        if confirmed:
-            # Peers that were silent for long while the store answered have
-            # ended.
-            self.membership.lost.clear()
-        return confirmed
+        return await self.store.confirm(asked_at, limit)
 
     def make_inquiry(self, now: float) -> OpenInquiry:
         """Return who must be asked.
@@ -215,12 +210,13 @@
         members learn of engines from it.
         """
         membership = self.membership
+        lost = membership.lost.domains(now)
         if membership.uses_hubs:
             groups = {
                 name: membership.peers[name].location.domain
                 for name in self.hub_names(now)
             }
-            missing = {*membership.other_domains(), *membership.lost.values()}
+            missing = {*membership.other_domains(), *lost.values()}
             if membership.predecessor_count():
                 # Nobody answers for the own domain if this instance has just
                 # replaced its hub, which may not have ended.
@@ -230,7 +226,7 @@
             awaited = missing & set(groups.values())
         else:
             groups = {name: name for name in membership.peers}
-            missing = {*groups, *membership.lost}
+            missing = {*groups, *lost}
             # If all are silent, it may be this instance that was cut off.
             awaited = set(membership.live_names(now)) or set(groups)
         inquiry = OpenInquiry(groups, missing, awaited, trio.Event())
--- a/cranberryrelay/relay/tests/test_out_of_step.py
+++ b/cranberryrelay/relay/tests/test_out_of_step.py
@@ -25,6 +25,11 @@
     RelayContext,
     StreamReply,
 )
+from cranberryrelay.relay._membership import (
+    LOST_RETAINED_SECONDS,
+    REMOVE_AFTER_SECONDS,
+    RETRY_PERIOD_SECONDS,
+)
 from cranberryrelay.relay._model_path import ModelRun
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._records import KindRecord
@@ -246,7 +251,9 @@
     cut_from_both(play)
     for name in play.others():
         peers = play.fleet.protocols[play.victim].membership
-        peers.lost[name] = peers.peers[name].location.domain
+        domain = peers.peers[name].location.domain
+        forget_at = play.timers.now() + LOST_RETAINED_SECONDS
+        peers.lost.add(name, domain, forget_at)
         peers.remove(name)
 
 
@@ -627,6 +634,82 @@
     return outcome
 
 
+async def take_up_beside_a_stop(other_joins: bool) -> Outcome:
+    """Cut an instance that stops from the others; take a stream up there."""
+    taker = MESH[0]
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        network = LossyNetwork()
+        fleet = Fleet(network, nursery)
+        store = StubStore(StoreMode.REFUSES)
+        play = Play(network, fleet, timers, taker, set(), store)
+        await start_instances(play, sorted(MESH))
+        fleet.protocols[BEGINNER].send_farewell()
+        await trio.sleep(0.5)
+        for name in set(MESH) - {BEGINNER}:
+            network.lost |= {(name, BEGINNER), (BEGINNER, name)}
+            play.unaware.add(name)
+        if other_joins:
+            play.join_other_version()
+        await trio.sleep(1)
+        if other_joins:
+            play.begin_streams(BEGINNER, 1)
+        await trio.sleep(1)
+        outcome = await take_up(fleet.protocols[taker], timers)
+        nursery.cancel_scope.cancel()
+    return outcome
+
+
+async def take_up_twice() -> tuple[Outcome, Outcome]:
+    """Take streams up before and after the store is lost, too."""
+    taker = MESH[0]
+    async with open_timer_service() as timers, trio.open_nursery() as nursery:
+        network = LossyNetwork()
+        fleet = Fleet(network, nursery)
+        store = StubStore(StoreMode.ANSWERS)
+        play = Play(network, fleet, timers, taker, set(), store)
+        await start_instances(play, sorted(MESH))
+        check = make_store_check(play, store, timers)
+        fleet.protocols[taker].stream_inquiry.store = check
+        nursery.start_soon(check.run)
+        cut_from_peers(play)
+        await trio.sleep(REMOVE_AFTER_SECONDS + 2 * RETRY_PERIOD_SECONDS)
+        first = await take_up(fleet.protocols[taker], timers)
+        # The next stream is another one.
+        versions = play.state_of(taker).stream_versions
+        versions.streams.clear()
+        versions.unannounced.clear()
+        store.mode = StoreMode.REFUSES
+        play.unaware.add(taker)
+        play.join_other_version()
+        await trio.sleep(1)
+        play.begin_streams(BEGINNER, 1)
+        await trio.sleep(1)
+        second = await take_up(fleet.protocols[taker], timers)
+        nursery.cancel_scope.cancel()
+    return first, second
+
+
+class LostPeersTest(TestCase):
+    """Peers that are no members any more may still begin streams."""
+
+    # Events of two versions in one stream, which an instance began that had
+    # said that it stops.
+    def test_stopping_peer_counts_until_its_grace_ends(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        outcome = trio.run(take_up_beside_a_stop, True, clock=clock)
+        self.assertNotIn('d1', outcome.hosts)
+        self.assertEqual(outcome.code, UNKNOWN)
+
+    # Events of two versions in one stream, which an instance began that was
+    # silent for a minute, though the store had been reached since.
+    def test_answer_of_the_store_says_nothing_of_peers(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        first, second = trio.run(take_up_twice, clock=clock)
+        self.assertIsNone(first.code)
+        self.assertNotIn('d1', second.hosts)
+        self.assertEqual(second.code, UNKNOWN)
+
+
 class PlannedStopTest(TestCase):
     """An instance that stops serves streams until its grace ends."""
 
