Report only requests whose answer could not be sent whole

Cause: an answer counted as whole only if the connection was still open once its last message had been handled. A caller that closes right after the last byte is faster.

Change: whether a send failed decides, not whether the reader has seen the end since. A send that meets the close of its own connection fails like one on a closed connection; it raised BusyResourceError in the app before.

Evidence: test_unanswered, row 'reports of answered requests whose callers close at once', on the code before 4 of 4 runs: "[<EndReason.CALLER_CLOSED>] != []".

--- a/cranberryrelay/serving/_http_connection.py
+++ b/cranberryrelay/serving/_http_connection.py
@@ -43,6 +43,14 @@
 )
 
 
+# Errors of a send on a connection that has ended, or is being closed.
+_SEND_ERRORS: Final = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    trio.BusyResourceError,
+)
+
+
 class Awaited(Enum):
     """What a connection waits for."""
 
@@ -122,6 +130,9 @@
         # Why the connection has ended; None while it is open.
         self.end_reason: EndReason | None = None
 
+        # Whether a part of an answer could not be sent.
+        self.send_failed = False
+
         # Limits the present wait for bytes.
         self.read_scope = trio.CancelScope()
 
@@ -195,8 +206,8 @@
         return EndReason.INTERNAL_ERROR
 
     def is_broken(self) -> bool:
-        """Return whether the connection has ended before its answer."""
-        return self.end_reason is not None
+        """Return whether a part of an answer could not be sent."""
+        return self.send_failed
 
     def record_end(self, reason: EndReason) -> None:
         """Record why the connection ends; the first reason counts."""
@@ -221,7 +232,8 @@
             with trio.CancelScope(shield=True):
                 try:
                     await self.stream.send_all(content)
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                except _SEND_ERRORS:
+                    self.send_failed = True
                     self.record_end(EndReason.CALLER_CLOSED)
                 else:
                     return
--- a/cranberryrelay/serving/tests/test_unanswered.py
+++ b/cranberryrelay/serving/tests/test_unanswered.py
@@ -79,6 +79,13 @@
     await caller.read()
 
 
+async def read_and_close(served: ServedApp, caller: Caller) -> None:
+    """Let the caller close its connection once it has read the answer."""
+    served.release.set()
+    await caller.read()
+    await caller.stream.aclose()
+
+
 class UnansweredTest(TestCase):
     """Requests whose connections end early."""
 
@@ -104,6 +111,8 @@
             ),
         ),
         (Ending(HELD_PATH, read_to_end, None, '', 0),),
+        # Reports of answered requests whose callers close at once.
+        (Ending(HELD_PATH, read_and_close, None, '', 0),),
     )
     def test_reason_is_reported(self, ending: Ending) -> None:
         reported = trio.run(end_early, ending, clock=MockClock())
