--- a/cranberryrelay/relay/_crash_suspects.py
+++ b/cranberryrelay/relay/_crash_suspects.py
@@ -210,7 +210,7 @@
             self._announce_refutation(engine)
 
     def record_absence(self, now: float) -> None:
-        """Allow the whole time for confirmation after a standstill.
+        """Allow the whole time for confirmation after a suspension.
 
         What tells that an engine has ended may still wait to be read.
         """
--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -298,7 +298,7 @@
 def record_absence(membership: Membership, seconds: float, now: float) -> None:
     """Leave out of each peer's silence a time in which nothing was heard.
 
-    This instance stood still, so the silence was its own. A message may have
+    This instance was suspended, so the silence was its own. A message may have
     arrived since.
     """
     for name, peer in membership.peers.items():
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -363,9 +363,9 @@
                 self.gate.record_proven()
                 self.log.log_answered(self.context.timers.now())
                 return
-            response = await self.go_on(response, ended)
+            response = await self.continue_stream(response, ended)
 
-    async def go_on(
+    async def continue_stream(
         self, response: UpstreamResponse, ended: Failure | UpstreamResponse
     ) -> UpstreamResponse:
         """Return the response with the rest of a stream.
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -69,7 +69,7 @@
 UNUSED_CONNECTION_SECONDS: Final = 4.0
 
 # Longest time between two heartbeat ticks that counts as silence of the peers.
-# In the rest of a longer one this instance stood still and heard nobody.
+# In the rest of a longer one this instance was suspended and heard nobody.
 ABSENCE_SECONDS: Final = 0.5
 
 # Count of sent changes that differs from any, so that a heartbeat is due.
@@ -480,7 +480,7 @@
         protocol.state.start_check.record_absence(absent_seconds)
         protocol.state.crash_suspects.record_absence(now)
         _LOG.warning(
-            'stood still',
+            'process was suspended',
             extra={'seconds': round(absent_seconds + ABSENCE_SECONDS, 3)},
         )
 
--- a/cranberryrelay/relay/_stalled_read.py
+++ b/cranberryrelay/relay/_stalled_read.py
@@ -11,7 +11,7 @@
 Replacement = TypeVar('Replacement')
 
 # Before a replacement is asked for, the bytes are read that have arrived while
-# this process stood still.
+# this process was suspended.
 LAST_LOOK_SECONDS: Final = 0.001
 
 
--- a/cranberryrelay/relay/tests/test_after_a_pause.py
+++ b/cranberryrelay/relay/tests/test_after_a_pause.py
@@ -1,4 +1,4 @@
-"""What an instance believes after it stood still, or heard nothing one way.
+"""What an instance believes after it was suspended, or heard nothing one way.
 
 Load pattern, in virtual time: an instance is frozen for some seconds, or what
 its peers send it is lost while they hear it. Guards against taking its own
@@ -75,7 +75,7 @@
 
 
 async def count_after_death(instances: int, clock: MockClock) -> int:
-    """Return the live instances after one died and the others stood still."""
+    """Return the live instances after one died and others were suspended."""
     async with open_timer_service() as timers, trio.open_nursery() as nursery:
         network = LossyNetwork()
         fleet = await start_fleet(instances, network, nursery, timers)
@@ -90,7 +90,7 @@
 async def freeze_before_confirmation(clock: MockClock) -> Clearance:
     """Return how an instance judges a request that crashed two upstreams.
 
-    It saw them break off, stood still, and then learned that they had ended.
+    It saw them break off, was suspended, and then learned that they had ended.
     """
     async with open_timer_service() as timers, trio.open_nursery() as nursery:
         fleet = await start_fleet(3, LossyNetwork(), nursery, timers)
@@ -119,7 +119,7 @@
 
 
 class FreezeTest(TestCase):
-    """An instance stood still."""
+    """An instance was suspended."""
 
     # Guards against using the budgets of all instances after a freeze, as none
     # was heard meanwhile.
--- a/cranberryrelay/relay/tests/test_silent_streams.py
+++ b/cranberryrelay/relay/tests/test_silent_streams.py
@@ -204,11 +204,11 @@
         self.assertLess(ended_at - engines.switched_at[0], 0.4)
 
     # Guards against a retry and a backup that are spent on events which arrived
-    # while this process stood still.
+    # while this process was suspended.
     def test_events_that_waited_are_read_first(self) -> None:
         engines = Engines(Case('', silence_seconds=SHORT_SILENCE_SECONDS))
         clock = MockClock(autojump_threshold=0)
-        trio.run(serve_over_standstill, engines, clock, clock=clock)
+        trio.run(serve_over_suspension, engines, clock, clock=clock)
         self.assertEqual(engines.switched_at, [])
 
     # Guards against switching for a silence that a sound engine may have.
@@ -251,7 +251,7 @@
         return await pass_on(context)
 
 
-async def serve_over_standstill(engines: Engines, clock: MockClock) -> None:
+async def serve_over_suspension(engines: Engines, clock: MockClock) -> None:
     """Serve one request in a process that stands still in the silence."""
     async with trio.open_nursery() as nursery:
         nursery.start_soon(serve_stream, engines)
--- a/cranberryrelay/relay/tests/test_start_check.py
+++ b/cranberryrelay/relay/tests/test_start_check.py
@@ -128,7 +128,7 @@
         served = trio.run(collect_served_revisions, clock=clock)
         self.assertEqual(served, {NOTE_IN_FORCE})
 
-    # Requests that a new instance admits under an older note, as it stood still
+    # Requests that a new instance admits under an older note, as it was frozen
     # in the time in which its peers would have told it of the newer one.
     def test_instance_that_froze_at_its_start_waits(self) -> None:
         clock = MockClock(autojump_threshold=0)
--- a/cranberryrelay/soak/tests/test_promises.py
+++ b/cranberryrelay/soak/tests/test_promises.py
@@ -279,7 +279,7 @@
         'notes in force',
     ),
     Case(
-        'note not applied at the end, as the machine stood still since',
+        'note not applied at the end, as the machine stalled since',
         make_evidence(
             recovery_outcomes=(PROBE._replace(status=404), *(CHARGE,) * 20),
             disturbances=(Disturbance('machine', 51, SENT_AT, False),),
