Measure the processor time of an instance by stage

cranberryrelay-measure instance starts real processes over the stand-ins and tells what the first instance costs: its start, a second without requests, a model request and a plain call, and its memory.

--- a/cranberryrelay/measure/_program.py
+++ b/cranberryrelay/measure/_program.py
@@ -8,6 +8,7 @@
 
 from cranberryrelay.measure._agreement import measure_agreement
 from cranberryrelay.measure._capacity import measure_capacity
+from cranberryrelay.measure._instance_cost import measure_instance_cost
 from cranberryrelay.measure._overhead import measure_overhead
 from cranberryrelay.measure._policy_report import (
     format_policy_rows,
@@ -53,6 +54,16 @@
         """Compare calls through an entry with direct calls to the engine."""
         sys.stdout.write(f'{trio.run(measure_overhead, requests)}\n')
 
+    def instance(
+        self, requests: int = 300, instances: int = 1, build: str = '.'
+    ) -> None:
+        """Measure the processor time of an instance by stage.
+
+        ``build`` is the folder of the sources that it runs.
+        """
+        report = trio.run(measure_instance_cost, requests, instances, build)
+        sys.stdout.write(f'{report}\n')
+
 
 def main() -> None:
     """Run the command line."""
