Start an instance without its command line

Cause: a start took 0.87 s of processor time, nearly all imports. fire brings asyncio, the shared start of the programs brought the messages of the first design, and the registry of suspects its whole policy with the release notes.

The platform starts relay_instance, which imports only what an instance runs; relay_program keeps the command line and calls it. Incarnations and exit statuses move to startup/, the registry of suspects to suspects/.

--- a/cranberryrelay/demo/_deployment.py
+++ b/cranberryrelay/demo/_deployment.py
@@ -10,7 +10,6 @@
 from cranberryrelay.agreement import UpstreamSetting
 from cranberryrelay.entry import serve_entry
 from cranberryrelay.platform import ListedInstance
-from cranberryrelay.programs import make_incarnation
 from cranberryrelay.settings import DEFAULT_ENGINE_SLOTS, Settings
 from cranberryrelay.standins import (
     EngineSpeed,
@@ -20,6 +19,7 @@
     StoreStandIn,
     serve_standins,
 )
+from cranberryrelay.startup import make_incarnation
 from cranberryrelay.steward import serve_steward
 from cranberryrelay.wire import make_keys
 
--- a/cranberryrelay/policy/__init__.py
+++ b/cranberryrelay/policy/__init__.py
@@ -76,13 +76,13 @@
 from cranberryrelay.policy._roles import clip_demand as clip_demand
 from cranberryrelay.policy._roles import engines_needed as engines_needed
 from cranberryrelay.policy._roles import guarantee_slots as guarantee_slots
-from cranberryrelay.policy._suspects import (
+from cranberryrelay.suspects import (
     CRASHES_TO_REFUSE as CRASHES_TO_REFUSE,
 )
-from cranberryrelay.policy._suspects import (
+from cranberryrelay.suspects import (
     SUSPECT_TTL_SECONDS as SUSPECT_TTL_SECONDS,
 )
-from cranberryrelay.policy._suspects import SUSPECTS_LIMIT as SUSPECTS_LIMIT
-from cranberryrelay.policy._suspects import SuspectCrash as SuspectCrash
-from cranberryrelay.policy._suspects import SuspectRecord as SuspectRecord
-from cranberryrelay.policy._suspects import SuspectRegistry as SuspectRegistry
+from cranberryrelay.suspects import SUSPECTS_LIMIT as SUSPECTS_LIMIT
+from cranberryrelay.suspects import SuspectCrash as SuspectCrash
+from cranberryrelay.suspects import SuspectRecord as SuspectRecord
+from cranberryrelay.suspects import SuspectRegistry as SuspectRegistry
--- a/cranberryrelay/programs/_programs.py
+++ b/cranberryrelay/programs/_programs.py
@@ -2,9 +2,8 @@
 
 import signal
 import sys
-import uuid
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any
 
 import trio
 
@@ -12,11 +11,12 @@
 from cranberryrelay.logs import open_logs
 from cranberryrelay.policy import SuspectCrash
 from cranberryrelay.settings import Settings, load_settings
+from cranberryrelay.startup import (
+    INVALID_SETTINGS_EXIT_STATUS,
+    make_incarnation,
+)
 from cranberryrelay.wire import Codec, make_codec
 
-INCARNATION_DIGITS: Final = 8
-INVALID_SETTINGS_EXIT_STATUS: Final = 2
-
 # Runs a program with its settings, incarnation and graceful stop event.
 Serve = Callable[[Settings, str, trio.Event], Awaitable[None]]
 
@@ -50,11 +50,6 @@
     return loaded.unwrap()
 
 
-def make_incarnation() -> str:
-    """Make a random id that identifies one run of a process."""
-    return uuid.uuid4().hex[:INCARNATION_DIGITS]
-
-
 def make_peer_codec() -> Codec[Any]:
     """Make the codec for all messages between the processes."""
     return make_codec([*MESSAGE_TYPES, SuspectCrash])
--- a/cranberryrelay/relay/_crash_suspects.py
+++ b/cranberryrelay/relay/_crash_suspects.py
@@ -19,8 +19,8 @@
 from enum import Enum, auto
 from typing import Final, NamedTuple
 
-from cranberryrelay.policy import SuspectCrash, SuspectRegistry
 from cranberryrelay.relay._answer_history import AnswerHistory
+from cranberryrelay.suspects import SuspectCrash, SuspectRegistry
 
 # Events after which an engine has survived the start of an answer.
 PROOF_EVENTS: Final = 2
--- a/cranberryrelay/relay/tests/test_settings_reload.py
+++ b/cranberryrelay/relay/tests/test_settings_reload.py
@@ -22,7 +22,7 @@
     make_settings,
     pick_port,
 )
-from cranberryrelay.relay_program import SettingsReader
+from cranberryrelay.relay_instance import SettingsReader
 from cranberryrelay.serving import (
     DEFAULT_HEAD_SECONDS,
     HttpServerOptions,
--- a/cranberryrelay/relay/tests/test_supervision.py
+++ b/cranberryrelay/relay/tests/test_supervision.py
@@ -29,7 +29,7 @@
     make_instance_settings,
     run_deployment,
 )
-from cranberryrelay.relay_program import make_dependencies
+from cranberryrelay.relay_instance import make_dependencies
 from cranberryrelay.timing import TimerService, open_timer_service
 
 LIMIT_SECONDS = 30.0
--- a/cranberryrelay/relay/tests/test_whole_path.py
+++ b/cranberryrelay/relay/tests/test_whole_path.py
@@ -33,7 +33,7 @@
     make_settings,
     pick_port,
 )
-from cranberryrelay.relay_program import make_dependencies
+from cranberryrelay.relay_instance import make_dependencies
 from cranberryrelay.standins import (
     LOOPBACK,
     TargetEngineFaults,
