Send calls over h11 on sockets of our own

Cause: a call passed httpx, httpcore and h11. The pool looked at all of its connections for each call (517,572 looks for 664 calls), a head and a body were written one after the other, a chunk passed seven generators, and each of the three clients loaded the system's certificates at its start.

The transport below httpx is now one module: a kept connection is looked at and used in one step, a request is one write, and the events of an answer that have arrived together are passed on together. h11 tells what follows an answer. The upstreams' client sends each request as it is, without redirects, cookies or challenges.

'aiter_raw' is no longer in the path: the rows of unexpected errors raise at UpstreamResponse.chunks instead.

--- a/cranberryrelay/platform/_engine_control.py
+++ b/cranberryrelay/platform/_engine_control.py
@@ -23,7 +23,7 @@
     RoleOrder,
     Upstream,
 )
-from cranberryrelay.wire import INTEGER_MAX
+from cranberryrelay.wire import INTEGER_MAX, KeptConnectionTransport
 
 _EXPECT_INSTANCE: Final = 'X-Cranberryrelay-Expect-Instance'
 _OUTCOMES_BY_STATUS: Final[Mapping[int, OrderOutcome]] = MappingProxyType(
@@ -125,7 +125,9 @@
     """Open an HTTP client for reports and orders."""
     async with httpx.AsyncClient(
         timeout=ORDER_TIMEOUT_SECONDS,
-        limits=httpx.Limits(max_keepalive_connections=0),
+        transport=KeptConnectionTransport(
+            httpx.Limits(max_keepalive_connections=0)
+        ),
         trust_env=False,
     ) as client:
         yield TargetEngineControl(client)
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import httpx
+import trio
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
@@ -537,7 +538,7 @@
         A response is that of another engine which has taken the place of a
         silent one.
         """
-        with limit_time(self.remaining_seconds()):
+        with trio.CancelScope(deadline=self.admitted.deadline):
             if self.backup_engine is None or not self.log.event_count:
                 return await read_chunk(chunks)
             stalled_read = StalledRead(
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -2,8 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
-from http.cookiejar import DefaultCookiePolicy
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import httpx
 from result import Err, Ok, Result
@@ -64,26 +63,44 @@
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Return the chunks of the body; raises ``httpx.HTTPError``."""
-        return self.http_response.aiter_raw()
+        # ``aiter_raw`` would add two generators to each chunk.
+        stream = self.http_response.stream
+        assert isinstance(stream, httpx.AsyncByteStream)
+        return aiter(stream)
 
 
-def make_upstream_client() -> httpx.AsyncClient:
+class UpstreamClient(httpx.AsyncClient):
+    """HTTP client that sends each request once, as it is.
+
+    Cookies are the caller's, and so is a redirect or a challenge of the
+    upstream: each goes to the caller, and none to another one.
+    """
+
+    def __init__(self, transport: httpx.AsyncBaseTransport) -> None:
+        super().__init__(transport=transport, trust_env=False)
+        self.transport = transport
+
+    async def send(
+        self, request: httpx.Request, **options: Any
+    ) -> httpx.Response:
+        """Send a request; the body of its answer is read by the caller."""
+        for hook in self.event_hooks['request']:
+            await hook(request)
+        response = await self.transport.handle_async_request(request)
+        response.request = request
+        return response
+
+
+def make_upstream_client() -> UpstreamClient:
     """Make the HTTP client for all calls to upstreams."""
-    client = httpx.AsyncClient(
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT_SECONDS),
-        transport=KeptConnectionTransport(
+    return UpstreamClient(
+        KeptConnectionTransport(
             httpx.Limits(
                 max_connections=CONNECTIONS_LIMIT,
-                max_keepalive_connections=CONNECTIONS_LIMIT,
                 keepalive_expiry=IDLE_CONNECTION_SECONDS,
             )
-        ),
-        trust_env=False,
+        )
     )
-    client.headers.clear()
-    # Cookies are the caller's: kept here, they would go to other callers.
-    client.cookies.jar.set_policy(DefaultCookiePolicy(allowed_domains=()))
-    return client
 
 
 async def open_response(
@@ -133,7 +150,7 @@
         return Err(_to_failure(odd_address, call))
     try:
         headers = [*dialect.make_call_headers(call), *extra_headers]
-        request = _build_request(client, url, call, headers)
+        request = _build_request(url, call, headers)
     except Exception as odd:
         request_id = call.request.request_id
         return Err(record_unexpected(odd, request_id, is_sent=False))
@@ -151,10 +168,7 @@
 
 
 def _build_request(
-    client: httpx.AsyncClient,
-    url: httpx.URL,
-    call: UpstreamCall,
-    headers: RawHeaders,
+    url: httpx.URL, call: UpstreamCall, headers: RawHeaders
 ) -> httpx.Request:
     """Build the request of a call; ``url`` holds the address alone.
 
@@ -162,12 +176,15 @@
     normalized, or rejected.
     """
     incoming = call.request
-    return client.build_request(
+    return httpx.Request(
         incoming.method,
         url,
         headers=list(headers),
         content=incoming.body,
-        extensions={'target': incoming.target.encode('latin-1')},
+        extensions={
+            'target': incoming.target.encode('latin-1'),
+            'timeout': {'connect': CONNECT_TIMEOUT_SECONDS},
+        },
     )
 
 
--- a/cranberryrelay/relay/tests/test_unexpected_errors.py
+++ b/cranberryrelay/relay/tests/test_unexpected_errors.py
@@ -34,6 +34,7 @@
 from cranberryrelay.relay._rate_limits import RateLimits
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._state import RelayState
+from cranberryrelay.relay._upstream_call import UpstreamResponse
 from cranberryrelay.relay.tests.fixtures import (
     make_arrival,
     make_route,
@@ -103,13 +104,13 @@
     Step(ONCE, httpx.AsyncClient, 'send', MAY_HAVE_RUN),
     Step(ONCE, TargetDialect, 'parse_response', MAY_HAVE_RUN),
     Step(ONCE, RateLimits, 'record_answer', MAY_HAVE_RUN),
-    Step(ONCE, httpx.Response, 'aiter_raw', MAY_HAVE_RUN),
+    Step(ONCE, UpstreamResponse, 'chunks', MAY_HAVE_RUN),
     Step(ONCE, RelayState, 'record_success', MAY_HAVE_RUN),
     Step(ONCE, CrashSuspects, 'prove', MAY_HAVE_RUN),
     Step(ONCE, ForwardTargets, 'choose', NOT_RUN, forwards=True),
     Step(ONCE, TargetDialect, 'make_call_headers', NOT_RUN, forwards=True),
     Step(ONCE, httpx.AsyncClient, 'send', MAY_HAVE_RUN, forwards=True),
-    Step(ONCE, httpx.Response, 'aiter_raw', MAY_HAVE_RUN, forwards=True),
+    Step(ONCE, UpstreamResponse, 'chunks', MAY_HAVE_RUN, forwards=True),
     Step(STREAM, TargetDialect, 'parse_request', NOT_RUN),
     Step(STREAM, CrashSuspects, 'judge', NOT_RUN),
     Step(STREAM, Backlog, 'add', NOT_RUN),
--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -179,7 +179,7 @@
         async def scenario() -> None:
             call = UpstreamCall(make_arrival('r1'), 'u1', '10.0.0.1:1', 1)
             async with make_upstream_client() as client, AsyncExitStack() as st:
-                client._transport = httpx.MockTransport(respond)
+                client.transport = httpx.MockTransport(respond)
                 for _ in range(2):
                     await send_call(client, TargetDialect(), call, st)
 
--- a/cranberryrelay/wire/__init__.py
+++ b/cranberryrelay/wire/__init__.py
@@ -6,6 +6,7 @@
 from cranberryrelay.wire._authentication import (
     open_authenticator as open_authenticator,
 )
+from cranberryrelay.wire._byte_stream import ByteStream as ByteStream
 from cranberryrelay.wire._client import INBOX_LIMIT as INBOX_LIMIT
 from cranberryrelay.wire._client import PeerClient as PeerClient
 from cranberryrelay.wire._client import open_peer_client as open_peer_client
@@ -15,7 +16,6 @@
 from cranberryrelay.wire._keep_alive import (
     KEEP_ALIVE_OPTIONS as KEEP_ALIVE_OPTIONS,
 )
-from cranberryrelay.wire._kept_connections import AnswerBytes as AnswerBytes
 from cranberryrelay.wire._kept_connections import (
     KeptConnectionTransport as KeptConnectionTransport,
 )
--- a/cranberryrelay/wire/_kept_connections.py
+++ b/cranberryrelay/wire/_kept_connections.py
@@ -5,209 +5,366 @@
 connection is looked at once more right before the first byte of a request: if
 the server has closed it or written to it by then, the request has certainly
 not been sent and goes out on another connection.  A connection is used again
-only for less than the time that the server announces in ``Keep-Alive``.
+only for less than the time that the server announces in ``Keep-Alive``, and
+only if nothing follows the last answer on it.
+
+The parser is h11 and the errors are those of httpx.
 """
 
 import re
-from collections.abc import Iterable
-from http import HTTPStatus
-from typing import Any, Final
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Awaitable, Iterable
+from types import MappingProxyType
+from typing import Any, Final, TypeVar
 
-import httpcore
+import h11
 import httpx
+import trio
 
 from cranberryrelay.timing import read_clock
+from cranberryrelay.wire._byte_stream import ByteStream, connect
 from cranberryrelay.wire._keep_alive import KEEP_ALIVE_OPTIONS
 
 # The server's idle time begins while the end of its answer is on its way, and
 # the next request has to arrive before it ends.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.25
-_HEAD_END: Final = b'\r\n\r\n'
-_LAST_CHUNK: Final = b'\r\n0\r\n\r\n'
-_NO_BODY: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
-_IS_READABLE: Final = 'is_readable'
-_TIMEOUT_PARAMETER: Final = re.compile(
-    r'\s*timeout\s*=\s*(\d{1,9})\s*', re.ASCII | re.IGNORECASE
-)
 
+# Largest head of an answer, in bytes.
+HEAD_BYTES_LIMIT: Final = 102_400
 
-class UnsentRequestError(httpx.ConnectError):
-    """The server ended a new connection before a request was sent on it."""
+# Port of a URL that names none.
+HTTP_PORT: Final = 80
 
+# Steps of which the extension 'trace' of a request is told.
+CONNECTED: Final = 'connection.connect_tcp.complete'
+BEFORE_REQUEST: Final = 'http11.send_request_headers.started'
 
-class AnswerBytes:
-    """Counts the bytes read of one answer, to find bytes that follow it.
+_KEEP_ALIVE: Final = b'keep-alive'
+_TIMEOUT_PARAMETER: Final = re.compile(
+    rb'\s*timeout\s*=\s*(\d{1,9})\s*', re.IGNORECASE
+)
+_SOCKET_ERRORS: Final = (trio.BrokenResourceError, trio.ClosedResourceError)
+_CONNECT_ERRORS: Final = (OSError, OverflowError, *_SOCKET_ERRORS)
+_Found = TypeVar('_Found')
 
-    The parser of the next answer would begin with such bytes.
-    """
 
-    def __init__(self) -> None:
-        self.start = b''
-        self.head_count = 0
-        self.count = 0
-        self.last = b''
-
-        # Length of the body by the head; None if the answer is in chunks or
-        # ends with its connection.
-        self.body_count: int | None = None
-        self.is_chunked = False
-
-    def add(self, received: bytes) -> None:
-        """Add bytes that were read."""
-        self.count += len(received)
-        self.last = (self.last + received)[-len(_LAST_CHUNK) :]
-        if self.head_count:
-            return
-        self.start += received
-        end = self.start.find(_HEAD_END)
-        if end >= 0:
-            self.head_count = end + len(_HEAD_END)
-            self.start = b''
-
-    def record_head(self, response: httpx.Response, method: str) -> None:
-        """Record how the answer is framed."""
-        self.is_chunked = 'Transfer-Encoding' in response.headers
-        if method == 'HEAD' or response.status_code in _NO_BODY:
-            self.is_chunked = False
-            self.body_count = 0
-        elif not self.is_chunked and 'Content-Length' in response.headers:
-            self.body_count = int(response.headers['Content-Length'])
-
-    def is_followed(self) -> bool:
-        """Return whether more than the answer has been read, once it ended.
-
-        An answer in chunks that ends with fields counts as followed too.
-        """
-        if self.is_chunked:
-            return self.last != _LAST_CHUNK
-        if self.body_count is None:
-            return False
-        return self.count > self.head_count + self.body_count
+class UnsentRequestError(httpx.ConnectError):
+    """The server ended a new connection before a request was sent on it."""
 
 
-class KeptStream(httpcore.AsyncNetworkStream):
-    """Byte stream of a connection on which requests and answers alternate."""
+class KeptConnection:
+    """A connection on which requests and answers alternate."""
 
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+    def __init__(self, address: tuple[str, int], stream: ByteStream) -> None:
+        self.address = address
         self.stream = stream
+        self.protocol = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=HEAD_BYTES_LIMIT
+        )
 
-        # Whether a request has been sent of whose answer nothing was read.
-        self.is_sending = False
-
-        # Bytes of the last answer, and whether there is one.
-        self.answer = AnswerBytes()
-        self.is_reused = False
-
-        # Time of the last read, in seconds, and how long the connection may
-        # then be idle.
-        self.last_read_at = float('inf')
-        self.idle_seconds = float('inf')
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Read some bytes of an answer."""
-        received = await self.stream.read(max_bytes, timeout)
-        if self.is_sending:
-            self.answer = AnswerBytes()
-        self.answer.add(received)
-        self.is_sending = False
-        self.is_reused = True
-        self.last_read_at = read_clock()
-        return received
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Write some bytes of a request.
-
-        Raises ``httpcore.ConnectionNotAvailable``, after which the pool uses
-        another connection, or ``UnsentRequestError`` if this one is new.
-        """
-        if not self.is_sending:
-            self.check_idle()
-            self.is_sending = True
-        await self.stream.write(buffer, timeout)
-
-    def check_idle(self) -> None:
-        """Raise if the connection must not be used for a request."""
-        if not self.get_extra_info(_IS_READABLE):
-            return
-        if self.is_reused:
-            raise httpcore.ConnectionNotAvailable
-        raise UnsentRequestError('closed before the request was sent')
+        # Whether a request could not be sent whole.
+        self.send_failed = False
 
-    async def aclose(self) -> None:
-        """Close the connection."""
-        await self.stream.aclose()
+        # When the last answer ended, and how long the connection may then be
+        # idle by what the server says; both in seconds.
+        self.idle_since = float('inf')
+        self.announced_seconds = float('inf')
 
-    def get_extra_info(self, info: str) -> Any:
-        """Return what is known of the connection, see ``httpcore``.
+    async def send(self, request: httpx.Request, content: bytes) -> None:
+        """Send a request in one piece.
 
-        The pool closes idle connections that are readable, as the server has
-        closed them. Those that it is about to close, and those of which more
-        than the last answer has been read, count as readable too.
+        A server may answer and close before it has read all of it, so that a
+        failed send is told by what is read.
         """
-        if info == _IS_READABLE and not self.is_reusable():
-            return True
-        return self.stream.get_extra_info(info)
+        try:
+            message = self.make_message(request, content)
+        except h11.LocalProtocolError as error:
+            raise httpx.LocalProtocolError(str(error)) from error
+        try:
+            await limit(
+                self.stream.send_all(message), request, httpx.WriteTimeout
+            )
+        except _SOCKET_ERRORS:
+            self.send_failed = True
+
+    def make_message(self, request: httpx.Request, content: bytes) -> bytes:
+        """Return the bytes of a request."""
+        target = request.extensions.get('target') or request.url.raw_path
+        events = [
+            h11.Request(
+                method=request.method,
+                target=target,
+                headers=request.headers.raw,
+            ),
+            *((h11.Data(data=content),) if content else ()),
+            h11.EndOfMessage(),
+        ]
+        return b''.join(self.protocol.send(event) or b'' for event in events)
+
+    async def read_head(self, request: httpx.Request) -> h11.Response:
+        """Read the head of the answer."""
+        while True:
+            event = await self.read_event(request)
+            if isinstance(event, h11.Response):
+                self.announced_seconds = find_idle_seconds(event.headers)
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise httpx.RemoteProtocolError(
+                    'the connection ended before an answer'
+                )
+
+    async def read_event(self, request: httpx.Request) -> Any:
+        """Return the next event of the answer."""
+        while True:
+            event = self.next_present_event()
+            if event is not None:
+                return event
+            try:
+                received = await limit(
+                    self.stream.receive(), request, httpx.ReadTimeout
+                )
+            except _SOCKET_ERRORS as error:
+                raise httpx.ReadError(repr(error)) from error
+            self.protocol.receive_data(received)
+
+    def next_present_event(self) -> Any:
+        """Return the next event that needs no more bytes; None if all do."""
+        try:
+            event = self.protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            raise httpx.RemoteProtocolError(str(error)) from error
+        return None if event is h11.NEED_DATA else event
+
+    def end_exchange(self) -> bool:
+        """Return whether the connection may be used again; close it if not."""
+        is_complete = (
+            self.protocol.our_state is h11.DONE
+            and self.protocol.their_state is h11.DONE
+        )
+        following, _ = self.protocol.trailing_data
+        if not is_complete or following or self.send_failed:
+            self.stream.close()
+            return False
+        self.protocol.start_next_cycle()
+        self.idle_since = read_clock()
+        return True
 
-    def is_reusable(self) -> bool:
-        """Return whether what was read allows to use the connection again."""
-        is_expired = read_clock() - self.last_read_at > self.idle_seconds
-        return not (is_expired or self.answer.is_followed())
+    def is_usable(self, idle_limit_seconds: float) -> bool:
+        """Return whether a request may be sent now."""
+        idle_seconds = min(idle_limit_seconds, self.announced_seconds)
+        is_expired = read_clock() - self.idle_since > idle_seconds
+        return not is_expired and not self.stream.is_readable()
 
 
-class _Backend(httpcore.AsyncNetworkBackend):
-    def __init__(self) -> None:
-        self.backend = httpcore.TrioBackend()
+class AnswerBody(httpx.AsyncByteStream):
+    """The body of an answer; closed, it gives the connection back."""
 
-    async def connect_tcp(
+    def __init__(
         self,
-        host: str,
-        port: int,
-        timeout: float | None = None,
-        local_address: str | None = None,
-        socket_options: Iterable[httpcore.SOCKET_OPTION] | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        stream = await self.backend.connect_tcp(
-            host, port, timeout, local_address, socket_options
-        )
-        return KeptStream(stream)
+        pool: 'KeptConnectionTransport',
+        connection: KeptConnection,
+        request: httpx.Request,
+    ) -> None:
+        self.pool = pool
+        self.connection = connection
+        self.request = request
+        self.is_open = True
+
+    async def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield what arrives at a time; raises ``httpx.HTTPError``."""
+        is_complete = False
+        while not is_complete:
+            event = await self.connection.read_event(self.request)
+            parts: list[bytes] = []
+            while isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                event = self.connection.next_present_event()
+            is_complete = event is not None
+            if parts:
+                yield b''.join(parts)
 
+    async def aclose(self) -> None:
+        """Give the connection back, or close it if the answer is not read."""
+        if self.is_open:
+            self.is_open = False
+            self.pool.give_back(self.connection)
 
-class KeptConnectionTransport(httpx.AsyncHTTPTransport):
+
+class KeptConnectionTransport(httpx.AsyncBaseTransport):
     """HTTP transport for requests that may have to run only once."""
 
     def __init__(self, limits: httpx.Limits) -> None:
-        super().__init__(limits=limits, trust_env=False)
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=limits.max_connections,
-            max_keepalive_connections=limits.max_keepalive_connections,
-            socket_options=KEEP_ALIVE_OPTIONS,
-            network_backend=_Backend(),
-        )
-        idle_seconds = limits.keepalive_expiry
-        self.idle_seconds = (
-            float('inf') if idle_seconds is None else idle_seconds
+        most = limits.max_connections
+        self.slots = trio.Semaphore(most) if most else None
+        self.idle_limit_seconds = (
+            float('inf')
+            if limits.keepalive_expiry is None
+            else limits.keepalive_expiry
         )
 
+        self.keeps_connections = limits.max_keepalive_connections != 0
+
+        # Idle connections by address, the one that was used last at the end,
+        # and all of them, the one that was used last at the end.
+        self.idle: dict[tuple[str, int], list[KeptConnection]] = {}
+        self.by_age: OrderedDict[KeptConnection, None] = OrderedDict()
+
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
-        """Send a request; limits the idle time of its connection."""
-        response = await super().handle_async_request(request)
-        stream = response.extensions.get('network_stream')
-        if isinstance(stream, KeptStream):
-            announced = find_idle_seconds(response.headers)
-            stream.idle_seconds = min(self.idle_seconds, announced)
-            stream.answer.record_head(response, request.method)
-        return response
+        """Send a request; the answer's stream gives its connection back."""
+        content = await request.aread()
+        await self.take_slot(request)
+        connection: KeptConnection | None = None
+        try:
+            connection = await self.find_connection(request)
+            await connection.send(request, content)
+            head = await connection.read_head(request)
+        except BaseException:
+            if connection is not None:
+                connection.stream.close()
+            self.free_slot()
+            raise
+        return httpx.Response(
+            head.status_code,
+            headers=head.headers.raw_items(),
+            stream=AnswerBody(self, connection, request),
+        )
+
+    async def find_connection(self, request: httpx.Request) -> KeptConnection:
+        """Return a connection on which a request may be sent at once.
+
+        Raises ``httpx.ConnectError``, ``httpx.ConnectTimeout`` or
+        ``UnsentRequestError``; then nothing was sent.
+        """
+        host = request.url.host
+        address = (host, request.url.port or HTTP_PORT)
+        self.close_expired()
+        while True:
+            kept = self.take_idle(address)
+            if kept is None:
+                break
+            await trace(request, BEFORE_REQUEST)
+            if kept.is_usable(self.idle_limit_seconds):
+                return kept
+            kept.stream.close()
+        opened = await open_connection(address, request)
+        await trace(request, CONNECTED)
+        if opened.stream.is_readable():
+            opened.stream.close()
+            raise UnsentRequestError('closed before the request was sent')
+        return opened
+
+    def take_idle(self, address: tuple[str, int]) -> KeptConnection | None:
+        """Return the idle connection that was used last."""
+        idle = self.idle.get(address)
+        if not idle:
+            return None
+        connection = idle.pop()
+        if not idle:
+            self.idle.pop(address)
+        self.by_age.pop(connection)
+        return connection
+
+    def give_back(self, connection: KeptConnection) -> None:
+        """Keep a connection whose answer has been read, or close it."""
+        if not self.keeps_connections:
+            connection.stream.close()
+        elif connection.end_exchange():
+            self.idle.setdefault(connection.address, []).append(connection)
+            self.by_age[connection] = None
+        self.free_slot()
+
+    def close_expired(self) -> None:
+        """Close the connections that have been idle for too long."""
+        oldest = read_clock() - self.idle_limit_seconds
+        while self.by_age:
+            connection = next(iter(self.by_age))
+            if connection.idle_since >= oldest:
+                return
+            self.close_idle(connection)
+
+    def close_idle(self, connection: KeptConnection) -> None:
+        """Close one idle connection."""
+        self.by_age.pop(connection)
+        idle = self.idle[connection.address]
+        idle.remove(connection)
+        if not idle:
+            self.idle.pop(connection.address)
+        connection.stream.close()
+
+    async def take_slot(self, request: httpx.Request) -> None:
+        """Wait until one more request may be sent."""
+        if self.slots is not None:
+            await limit(self.slots.acquire(), request, httpx.PoolTimeout)
+
+    def free_slot(self) -> None:
+        """Let another request be sent."""
+        if self.slots is not None:
+            self.slots.release()
+
+    async def aclose(self) -> None:
+        """Close the idle connections."""
+        for connection in list(self.by_age):
+            self.close_idle(connection)
+
+
+async def open_connection(
+    address: tuple[str, int], request: httpx.Request
+) -> KeptConnection:
+    """Open a connection; raises ``httpx.ConnectError`` or a timeout."""
+    try:
+        stream = await limit(
+            connect(*address, KEEP_ALIVE_OPTIONS),
+            request,
+            httpx.ConnectTimeout,
+        )
+    except _CONNECT_ERRORS as error:
+        raise httpx.ConnectError(repr(error)) from error
+    return KeptConnection(address, stream)
+
+
+async def trace(request: httpx.Request, step: str) -> None:
+    """Tell the extension 'trace' of a request of a step."""
+    observe = request.extensions.get('trace')
+    if observe is not None:
+        await observe(step, {})
+
+
+_TIMEOUT_NAMES: Final = MappingProxyType(
+    {
+        httpx.ReadTimeout: 'read',
+        httpx.WriteTimeout: 'write',
+        httpx.ConnectTimeout: 'connect',
+        httpx.PoolTimeout: 'pool',
+    }
+)
+
+
+async def limit(
+    action: Awaitable[_Found],
+    request: httpx.Request,
+    error: type[httpx.TimeoutException],
+) -> _Found:
+    """Await an action within the request's timeout for it, if it has one."""
+    seconds = request.extensions.get('timeout', {}).get(_TIMEOUT_NAMES[error])
+    if seconds is None:
+        return await action
+    with trio.move_on_after(seconds):
+        return await action
+    raise error(f'no progress within {seconds} s')
 
 
-def find_idle_seconds(headers: httpx.Headers) -> float:
+def find_idle_seconds(headers: Iterable[tuple[bytes, bytes]]) -> float:
     """Return how long a connection may be idle by the server's headers.
 
     Infinite if they do not say.
     """
-    for parameter in headers.get('Keep-Alive', '').split(','):
-        found = _TIMEOUT_PARAMETER.fullmatch(parameter)
-        if found:
-            return int(found.group(1)) - KEEP_ALIVE_MARGIN_SECONDS
+    for name, content in headers:
+        if name != _KEEP_ALIVE:
+            continue
+        for parameter in content.split(b','):
+            found = _TIMEOUT_PARAMETER.fullmatch(parameter)
+            if found:
+                return int(found.group(1)) - KEEP_ALIVE_MARGIN_SECONDS
     return float('inf')
