Serve callers with h11 and a plain ASGI app

Cause: of a request's time in the relay, Quart, Werkzeug and hypercorn took about half: a task and two channels a request, a second one for the caller's end, a lock and a cancel scope a chunk. They also took 0.2 s of a start.

serving/ parses with h11, which hypercorn builds on, on sockets that are waited for before they are read and written at once; who closes a connection is decided as before. The relay's app is plain ASGI: the server cancels a request whose caller has left. quart stays in entry/ and the stand-ins. An answer that only the end of its connection ends is now reset when it is broken off.

The relay's tests ran its apps on hypercorn's own server; they now run them on this one. The soak's defect 'reuses' dropped the body, which the server now answers by a 500; it cuts the connection instead (without this, the defect was missed once).

--- a/cranberryrelay/entry/_http_app.py
+++ b/cranberryrelay/entry/_http_app.py
@@ -14,7 +14,6 @@
     make_problem_response,
     make_reply_headers,
 )
-from cranberryrelay.serving import ShieldedSendApp
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 _METHODS: Final = ('GET', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -74,7 +73,7 @@
 
 def make_entry_app(pipeline: Pipeline) -> QuartTrio:
     """Make the application that serves callers."""
-    app = ShieldedSendApp('cranberryrelay.entry')
+    app = QuartTrio('cranberryrelay.entry')
     app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
     routes = EntryRoutes(pipeline)
     app.post('/v1/completions')(routes.complete)
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -1,17 +1,14 @@
-"""HTTP interfaces for callers and for the readiness check of the balancer."""
+"""ASGI apps for callers, for peers, and for the balancer's readiness check."""
 
 import logging
 from collections.abc import AsyncIterator, Mapping
 from contextlib import AsyncExitStack
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
-from quart import Response, request
-from quart_trio import QuartTrio
+import trio
 from result import Err
-from werkzeug.datastructures import Headers
-from werkzeug.exceptions import InternalServerError
 
 from cranberryrelay.codes import (
     CODE_TABLE,
@@ -41,7 +38,8 @@
 from cranberryrelay.relay._state import ActiveRequest
 from cranberryrelay.relay._unexpected_errors import record_unexpected
 from cranberryrelay.serving import (
-    ShieldedSendApp,
+    ON_DISCONNECT,
+    App,
     UnansweredLog,
     UnansweredRequest,
 )
@@ -65,12 +63,49 @@
     }
 )
 
-# Keys of the state of an ASGI scope.
-_STACK: Final = 'cranberryrelay.stack'
+# Key in the state of an ASGI scope.
 _PROGRESS: Final = 'cranberryrelay.progress'
+
+_CONTENT_LENGTH: Final = b'content-length'
+_RETRY_AFTER: Final = b'retry-after'
+_CLOSE: Final = (b'connection', b'close')
+_PLAIN_TEXT: Final = (b'content-type', b'text/plain')
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
+class Answer(NamedTuple):
+    """An answer to a caller."""
+
+    # HTTP status.
+    status: int
+
+    # Headers, without those that frame the body.
+    headers: RawHeaders
+
+    # The body, whole or as it arrives.
+    body: bytes | AsyncIterator[bytes]
+
+
+class Arrival(NamedTuple):
+    """A request that is being handled."""
+
+    # ASGI scope.
+    scope: Any
+
+    # Receives the messages of the caller.
+    receive: Any
+
+    # Closes everything that is opened for the request.
+    stack: AsyncExitStack
+
+    # How far the request has got.
+    progress: RequestProgress
+
+
+class CallerLeftError(Exception):
+    """The caller has left before its request was whole."""
+
+
 class FrontRoutes:
     """Handlers for requests of callers."""
 
@@ -81,22 +116,27 @@
         self.context = context
         self.pipeline = RelayPipeline(context)
 
-    async def handle_request(self) -> Response:
+    async def handle_request(self, arrival: Arrival) -> Answer:
         """Handle any request of a caller, within the time of a stop."""
-        with self.context.state.planned_stop.limit_time():
-            return await self.answer_request()
-        return self.end_by_stop()
-
-    def end_by_stop(self) -> Response:
+        try:
+            with self.context.state.planned_stop.limit_time():
+                return await self.answer_request(arrival)
+        except CallerLeftError:
+            raise
+        except Exception as error:
+            return self.refuse(record_unexpected(error, '', is_sent=True))
+        return self.end_by_stop(arrival)
+
+    def end_by_stop(self, arrival: Arrival) -> Answer:
         """Make the answer to a request for which a stop leaves no time."""
-        progress = request.scope['state'][_PROGRESS]
+        progress = arrival.progress
         failure = find_stop_failure(may_have_run=progress.may_have_run)
-        arrival = read_request(b'', 0)
+        request = read_scope(arrival.scope, b'', 0)
         _LOG.info(
             'request ended by the stop',
             extra={
                 'request_id': self.context.dialect.parse_request(
-                    arrival
+                    request
                 ).request_id,
                 'code': failure.code.value,
                 'ran': failure.ran,
@@ -106,26 +146,30 @@
         self.context.state.telemetry.count_request(None, failure.code)
         return self.refuse(failure)
 
-    async def answer_request(self) -> Response:
-        """Read the whole request, run it, and make its response."""
+    async def answer_request(self, arrival: Arrival) -> Answer:
+        """Read the whole request, run it, and make its answer."""
         arrived_at = self.context.timers.now()
-        stack: AsyncExitStack = request.scope['state'][_STACK]
-        body: Any = await request.get_data(as_text=False)
+        body = await read_body(arrival.receive)
+        if body is None:
+            detail = f'the body exceeds {BODY_BYTES_HARD_LIMIT} bytes'
+            return self.refuse(fail(ResultCode.BODY_TOO_LARGE, detail))
         outcome = await self.pipeline.serve(
-            self.read_request(body, arrived_at),
-            stack,
-            request.scope['state'][_PROGRESS],
+            self.read_request(arrival.scope, body, arrived_at),
+            arrival.stack,
+            arrival.progress,
             may_forward=self.may_forward,
         )
         if isinstance(outcome, Err):
             return self.refuse(outcome.unwrap_err())
         return self.close_if_draining(make_response(outcome.unwrap()))
 
-    def read_request(self, body: bytes, arrived_at: float) -> IncomingRequest:
+    def read_request(
+        self, scope: Any, body: bytes, arrived_at: float
+    ) -> IncomingRequest:
         """Read the request that is being handled."""
-        return read_request(body, arrived_at)
+        return read_scope(scope, body, arrived_at)
 
-    def refuse(self, failure: Failure) -> Response:
+    def refuse(self, failure: Failure) -> Answer:
         """Make an error response.
 
         A status that invites a retry is replaced by 502 if the request may
@@ -138,26 +182,18 @@
             and status in _RETRYABLE_STATUSES
         ):
             status = HTTPStatus.BAD_GATEWAY
-        response = Response(
-            f'{failure.code.value} {entry.title}\n',
-            status=status,
-            content_type='text/plain',
-        )
+        headers = [_PLAIN_TEXT]
         if status in _RETRYABLE_STATUSES:
-            response.headers['Retry-After'] = format_retry_after(failure)
-        return self.close_if_draining(response)
-
-    async def refuse_unexpected(self, error: InternalServerError) -> Response:
-        """Make the error response for an error outside the pipeline."""
-        original = error.original_exception
-        cause = original if isinstance(original, Exception) else error
-        return self.refuse(record_unexpected(cause, '', is_sent=True))
+            retry_after = format_retry_after(failure).encode()
+            headers.append((_RETRY_AFTER, retry_after))
+        text = f'{failure.code.value} {entry.title}\n'
+        return self.close_if_draining(Answer(status, headers, text.encode()))
 
-    def close_if_draining(self, response: Response) -> Response:
+    def close_if_draining(self, answer: Answer) -> Answer:
         """Ask the caller to close the connection during a planned stop."""
         if self.context.state.draining:
-            response.headers['Connection'] = 'close'
-        return response
+            return answer._replace(headers=[*answer.headers, _CLOSE])
+        return answer
 
 
 def format_retry_after(failure: Failure) -> str:
@@ -173,35 +209,36 @@
 
     may_forward = False
 
-    async def handle_request(self) -> Response:
+    async def handle_request(self, arrival: Arrival) -> Answer:
         """Handle a request of a peer that is cut off from upstreams."""
-        obstacle = self.find_obstacle()
+        obstacle = self.find_obstacle(arrival.scope)
         if obstacle is not None:
             refusal = self.refuse(fail(ResultCode.FORWARD_REFUSED, obstacle))
-            refusal.headers[REFUSED_HEADER.decode()] = obstacle
-            return refusal
-        stack: AsyncExitStack = request.scope['state'][_STACK]
-        stack.enter_context(self.context.state.forwarded.track())
-        return await super().handle_request()
-
-    def read_request(self, body: bytes, arrived_at: float) -> IncomingRequest:
+            refused = (REFUSED_HEADER, obstacle.encode('latin-1', 'replace'))
+            return refusal._replace(headers=[*refusal.headers, refused])
+        arrival.stack.enter_context(self.context.state.forwarded.track())
+        return await super().handle_request(arrival)
+
+    def read_request(
+        self, scope: Any, body: bytes, arrived_at: float
+    ) -> IncomingRequest:
         """Read the request without the header for this instance alone."""
-        arrival = super().read_request(body, arrived_at)
+        request = super().read_request(scope, body, arrived_at)
         headers = [
             pair
-            for pair in arrival.headers
+            for pair in request.headers
             if pair[0].lower() != REVISION_HEADER
         ]
-        return arrival._replace(headers=headers)
+        return request._replace(headers=headers)
 
-    def find_obstacle(self) -> str | None:
+    def find_obstacle(self, scope: Any) -> str | None:
         """Return why a forwarded request is not taken; None if it is."""
         state = self.context.state
         if not forward_address(state):
             return 'not ready, or cut off from upstreams'
         if state.forwarded.active >= FORWARDED_LIMIT:
             return f'{FORWARDED_LIMIT} forwarded requests are in progress'
-        revision = request.headers.get(REVISION_HEADER.decode(), '')
+        revision = find_header(scope, REVISION_HEADER)
         if not is_known_revision(revision, state.revision()):
             stated = revision[:REVISION_DIGITS]
             return f'revision {stated} is not in force here'
@@ -229,20 +266,49 @@
     def __init__(self, context: RelayContext) -> None:
         self.context = context
 
-    async def report_readiness(self) -> Response:
+    async def handle_request(self, arrival: Arrival) -> Answer:
         """Return the readiness for new requests, or the metrics."""
-        if request.path == METRICS_PATH:
-            accepts = request.headers.getlist('Accept')
-            text, headers = self.context.state.telemetry.render_metrics(accepts)
-            return Response(text, headers=headers)
+        scope = arrival.scope
+        if scope['path'] == METRICS_PATH:
+            accepts = [find_header(scope, b'accept') or '*/*']
+            text, named = self.context.state.telemetry.render_metrics(accepts)
+            headers = [
+                (name.encode(), content.encode())
+                for name, content in named.items()
+            ]
+            return Answer(HTTPStatus.OK, headers, text)
         if self.context.state.is_ready():
-            return Response('ready\n')
-        return Response('not ready\n', HTTPStatus.SERVICE_UNAVAILABLE)
+            return Answer(HTTPStatus.OK, [_PLAIN_TEXT], b'ready\n')
+        return Answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, [_PLAIN_TEXT], b'not ready\n'
+        )
 
 
-def read_request(body: bytes, arrived_at: float) -> IncomingRequest:
-    """Read the HTTP request that is being handled."""
-    return read_scope(request.scope, body, arrived_at)
+async def read_body(receive: Any) -> bytes | None:
+    """Read the body of a request; None if it is too large.
+
+    Raises ``CallerLeftError``.
+    """
+    parts: list[bytes] = []
+    length = 0
+    while True:
+        message = await receive()
+        if message['type'] != 'http.request':
+            raise CallerLeftError
+        parts.append(message.get('body', b''))
+        length += len(parts[-1])
+        if length > BODY_BYTES_HARD_LIMIT:
+            return None
+        if not message.get('more_body', False):
+            return b''.join(parts)
+
+
+def find_header(scope: Any, wanted: bytes) -> str:
+    """Return a header of a request; '' if it has none."""
+    for name, content in scope['headers']:
+        if name.lower() == wanted:
+            return str(content, 'latin-1').strip()
+    return ''
 
 
 def read_scope(scope: Any, body: bytes, arrived_at: float) -> IncomingRequest:
@@ -250,19 +316,15 @@
 
     The dialect fills in the fields that depend on the headers.
     """
-    headers = tuple(scope['headers'])
     query = scope['query_string'].decode('latin-1')
     path = scope['raw_path'].decode('latin-1')
-    host = next(
-        (value for name, value in headers if name.lower() == b'host'), b''
-    )
     return IncomingRequest(
         request_id='',
         method=scope['method'],
         target=f'{path}?{query}' if query else path,
         path=path,
-        host=host.decode('latin-1').partition(':')[0].lower(),
-        headers=headers,
+        host=find_header(scope, b'host').partition(':')[0].lower(),
+        headers=tuple(scope['headers']),
         body=body,
         timeout_seconds=None,
         arrived_at=arrived_at,
@@ -271,60 +333,96 @@
     )
 
 
-def make_response(reply: BufferedReply | StreamReply) -> Response:
-    """Make the HTTP response for the reply of an upstream."""
-    response = Response(_body_of(reply), status=reply.status)
-    response.timeout = None
-    response.headers = _make_headers(reply.headers)
-    return response
-
-
-def _body_of(
-    reply: BufferedReply | StreamReply,
-) -> bytes | AsyncIterator[bytes]:
-    return reply.events if isinstance(reply, StreamReply) else reply.body
+def make_response(reply: BufferedReply | StreamReply) -> Answer:
+    """Make the answer for the reply of an upstream."""
+    body = reply.events if isinstance(reply, StreamReply) else reply.body
+    return Answer(reply.status, reply.headers, body)
 
 
-def _make_headers(raw: RawHeaders) -> Headers:
-    headers = Headers()
-    for name, content in raw:
-        headers.add(name.decode('latin-1'), content.decode('latin-1'))
-    return headers
+class RelayApp:
+    """ASGI app that tracks active requests and closes what they opened.
 
+    The server cancels a request whose caller has left.
+    """
 
-class CleanupApp(ShieldedSendApp):
-    """Tracks active requests and closes their resources when they end."""
-
-    def __init__(self, name: str, context: RelayContext) -> None:
-        super().__init__(name)
+    def __init__(
+        self, context: RelayContext, routes: FrontRoutes | ReadyRoutes
+    ) -> None:
         self.context = context
+        self.routes = routes
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Handle one ASGI scope."""
         if scope['type'] != 'http':
-            await super().__call__(scope, receive, send)
+            await answer_lifespan(receive, send)
             return
-        scope['state'][_PROGRESS] = RequestProgress()
+        progress = RequestProgress()
+        scope['state'][_PROGRESS] = progress
         active = self.context.state.active
         active[id(scope)] = ActiveRequest(
             scope['path'], self.context.timers.now()
         )
         try:
             async with AsyncExitStack() as stack:
-                scope['state'][_STACK] = stack
+                arrival = Arrival(scope, receive, stack, progress)
                 # A stop breaks off a stream that is still being sent.
-                with self.context.state.planned_stop.limit_time(ANSWER_SECONDS):
-                    await super().__call__(scope, receive, send)
+                with (
+                    trio.CancelScope() as running,
+                    self.context.state.planned_stop.limit_time(ANSWER_SECONDS),
+                ):
+                    cancel_when_left(scope, running)
+                    await self.respond(arrival, send)
         finally:
             active.pop(id(scope))
 
-
-def make_front_app(context: RelayContext) -> QuartTrio:
-    """Make the app that serves callers."""
-    app = CleanupApp('cranberryrelay.relay', context)
-    app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
-    add_routes(app, FrontRoutes(context))
-    return app
+    async def respond(self, arrival: Arrival, send: Any) -> None:
+        """Handle a request and send its answer."""
+        try:
+            answer = await self.routes.handle_request(arrival)
+        except CallerLeftError:
+            return
+        is_head = arrival.scope['method'] == 'HEAD'
+        await send(make_start(answer, has_body=not is_head))
+        if isinstance(answer.body, bytes):
+            await send({'type': 'http.response.body', 'body': answer.body})
+            return
+        async for part in answer.body:
+            await send(
+                {'type': 'http.response.body', 'body': part, 'more_body': True}
+            )
+        await send({'type': 'http.response.body', 'body': b''})
+
+
+async def answer_lifespan(receive: Any, send: Any) -> None:
+    """Tell the server that there is nothing to do at its start and end."""
+    event = ''
+    while event != 'lifespan.shutdown':
+        message = await receive()
+        event = message['type']
+        await send({'type': f'{event}.complete'})
+
+
+def cancel_when_left(scope: Any, running: trio.CancelScope) -> None:
+    """Cancel a request once its caller has left, if the server can tell."""
+    register = (scope.get('extensions') or {}).get(ON_DISCONNECT)
+    if register is not None:
+        register(running.cancel)
+
+
+def make_start(answer: Answer, *, has_body: bool) -> dict[str, Any]:
+    """Make the first ASGI message of an answer."""
+    headers = list(answer.headers)
+    if has_body and isinstance(answer.body, bytes):
+        length = str(len(answer.body)).encode()
+        headers = [
+            pair for pair in headers if pair[0].lower() != _CONTENT_LENGTH
+        ]
+        headers.append((_CONTENT_LENGTH, length))
+    return {
+        'type': 'http.response.start',
+        'status': int(answer.status),
+        'headers': headers,
+    }
 
 
 class UnansweredRequests:
@@ -350,23 +448,16 @@
         )
 
 
-def make_forward_app(context: RelayContext) -> QuartTrio:
-    """Make the app that serves requests that peers forward."""
-    app = CleanupApp('cranberryrelay.forward', context)
-    app.config['MAX_CONTENT_LENGTH'] = BODY_BYTES_HARD_LIMIT
-    add_routes(app, ForwardRoutes(context))
-    return app
+def make_front_app(context: RelayContext) -> App:
+    """Make the app that serves callers."""
+    return RelayApp(context, FrontRoutes(context))
 
 
-def add_routes(app: QuartTrio, routes: FrontRoutes) -> None:
-    """Let an app handle all requests, and its own errors, by routes."""
-    app.before_request(routes.handle_request)
-    app.register_error_handler(InternalServerError, routes.refuse_unexpected)
+def make_forward_app(context: RelayContext) -> App:
+    """Make the app that serves requests that peers forward."""
+    return RelayApp(context, ForwardRoutes(context))
 
 
-def make_readiness_app(context: RelayContext) -> QuartTrio:
+def make_readiness_app(context: RelayContext) -> App:
     """Make the app that serves the readiness check and the metrics."""
-    app = ShieldedSendApp('cranberryrelay.ready')
-
-    app.before_request(ReadyRoutes(context).report_readiness)
-    return app
+    return RelayApp(context, ReadyRoutes(context))
--- a/cranberryrelay/relay/tests/test_bad_input.py
+++ b/cranberryrelay/relay/tests/test_bad_input.py
@@ -6,13 +6,11 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple
+from typing import NamedTuple
 from unittest import TestCase
 
 import httpx
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from nose2.tools import params
 
 from cranberryrelay.platform import TargetDialect
@@ -26,11 +24,13 @@
     make_settings,
     pick_port,
 )
+from cranberryrelay.serving import HttpServerOptions, serve_http
 from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import open_timer_service
 
 RESPONSE_TIMEOUT_SECONDS = 2.0
 START_SECONDS = 0.3
+IDLE_SECONDS = 5.0
 ID_HEADER = 'X-Cranberryrelay-Request-Id'
 HEAD = (
     b'POST /a/1 HTTP/1.1',
@@ -129,12 +129,8 @@
 @asynccontextmanager
 async def run_front(process: Process) -> AsyncIterator[tuple[str, int]]:
     """Serve callers on a free loopback port; yield host and port."""
-    config = Config()
     port = pick_port()
-    config.bind = [f'{LOOPBACK}:{port}']
-    config.graceful_timeout = 0
-    config.accesslog = None
-    config.errorlog = None
+    options = HttpServerOptions(f'{LOOPBACK}:{port}', 0, lambda: IDLE_SECONDS)
     transport = httpx.MockTransport(process.respond)
     stop = trio.Event()
     async with (
@@ -143,16 +139,13 @@
         trio.open_nursery() as nursery,
     ):
         context = RelayContext(make_state(), client, TargetDialect(), timers)
-        nursery.start_soon(_serve, make_front_app(context), config, stop)
+        app = make_front_app(context)
+        nursery.start_soon(serve_http, app, options, stop.wait)
         await trio.sleep(START_SECONDS)
         yield LOOPBACK, port
         stop.set()
 
 
-async def _serve(app: Any, config: Config, stop: trio.Event) -> None:
-    await serve(app, config, shutdown_trigger=stop.wait)
-
-
 def make_state() -> RelayState:
     """Make the state of an instance with one plain service."""
     state = RelayState(make_settings())
--- a/cranberryrelay/relay/tests/test_forwarding.py
+++ b/cranberryrelay/relay/tests/test_forwarding.py
@@ -11,8 +11,6 @@
 
 import httpx
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from nose2.tools import params
 from result import Result
 
@@ -49,6 +47,7 @@
 )
 from cranberryrelay.relay.tests.fleet_play import ID_HEADER
 from cranberryrelay.relay.tests.test_model_path import EVENTS, WORK, Engines
+from cranberryrelay.serving import HttpServerOptions, serve_http
 from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import open_timer_service
 
@@ -56,6 +55,8 @@
 REVISION = 3
 CLEANUP_SECONDS = 0.5
 START_SECONDS = 0.3
+GRACE_SECONDS = 1.0
+IDLE_SECONDS = 5.0
 Reply = Result[BufferedReply | StreamReply, Failure]
 
 
@@ -124,10 +125,7 @@
 ) -> AsyncIterator[ForwardTarget]:
     """Run a peer that takes forwarded requests."""
     address = f'{LOOPBACK}:{pick_port()}'
-    config = Config()
-    config.bind = [address]
-    config.accesslog = None
-    config.errorlog = None
+    options = HttpServerOptions(address, GRACE_SECONDS, lambda: IDLE_SECONDS)
     async with (
         open_timer_service() as timers,
         httpx.AsyncClient(transport=httpx.MockTransport(respond)) as client,
@@ -136,7 +134,7 @@
         context = RelayContext(state, client, TargetDialect(), timers)
         app: Any = make_forward_app(context)
         if listens:
-            nursery.start_soon(serve, app, config)
+            nursery.start_soon(serve_http, app, options, trio.sleep_forever)
             await trio.sleep(START_SECONDS)
         yield ForwardTarget(address, 'a')
         nursery.cancel_scope.cancel()
@@ -272,7 +270,7 @@
         answer = reply.unwrap()
         assert isinstance(answer, BufferedReply)
         self.assertEqual((answer.status, answer.body), (201, b'whole'))
-        headers = dict(answer.headers)
+        headers = {name.lower(): one for name, one in answer.headers}
         self.assertEqual(headers[b'x-own'], b'7')
         self.assertEqual(len(service.requests), 1)
         arrived = service.requests[0]
--- a/cranberryrelay/relay/tests/test_planned_stop.py
+++ b/cranberryrelay/relay/tests/test_planned_stop.py
@@ -11,8 +11,6 @@
 
 import httpx
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 from nose2.tools import params
 from result import Ok
 from trio.testing import MockClock
@@ -29,10 +27,12 @@
     make_settings,
     pick_port,
 )
+from cranberryrelay.serving import HttpServerOptions, serve_http
 from cranberryrelay.standins import LOOPBACK
 from cranberryrelay.timing import open_timer_service
 
 STOP_SECONDS = 5.0
+IDLE_SECONDS = 60.0
 GRACE_SECONDS: Final = BOUNDS.grace_seconds
 
 # Answers end before the last seventh of the grace, in seconds after SIGTERM.
@@ -49,12 +49,8 @@
 @asynccontextmanager
 async def run_server(stop: trio.Event) -> AsyncIterator[str]:
     """Serve the readiness app on a free loopback port; yield the address."""
-    config = Config()
-    config.bind = [f'{LOOPBACK}:{pick_port()}']
-    config.graceful_timeout = STOP_SECONDS
-    config.keep_alive_timeout = 60
-    config.accesslog = None
-    config.errorlog = None
+    address = f'{LOOPBACK}:{pick_port()}'
+    options = HttpServerOptions(address, STOP_SECONDS, lambda: IDLE_SECONDS)
     async with (
         open_timer_service() as timers,
         httpx.AsyncClient() as client,
@@ -65,13 +61,9 @@
             RelayState(make_settings()), client, dialect, timers
         )
         app = make_readiness_app(context)
-        nursery.start_soon(_serve, app, config, stop)
+        nursery.start_soon(serve_http, app, options, stop.wait)
         await trio.sleep(0.3)
-        yield config.bind[0]
-
-
-async def _serve(app: Any, config: Config, stop: trio.Event) -> None:
-    await serve(app, config, shutdown_trigger=stop.wait)
+        yield address
 
 
 class PlannedStopTest(TestCase):
--- a/cranberryrelay/relay/tests/test_settings_reload.py
+++ b/cranberryrelay/relay/tests/test_settings_reload.py
@@ -7,6 +7,7 @@
 
 import trio
 from nose2.tools import params
+from quart_trio import QuartTrio
 from trio.testing import MockClock
 
 from cranberryrelay.relay import ClientLimits, InstanceSettings, RequestKind
@@ -26,7 +27,6 @@
 from cranberryrelay.serving import (
     DEFAULT_HEAD_SECONDS,
     HttpServerOptions,
-    ShieldedSendApp,
     serve_http,
 )
 from cranberryrelay.standins import LOOPBACK
@@ -150,7 +150,7 @@
     """Return how long an idle connection stays open, in seconds."""
     port = pick_port()
     limits = [60.0]
-    app = ShieldedSendApp('test')
+    app = QuartTrio('test')
     app.before_request(answer_any)
     place = HttpServerOptions(f'{LOOPBACK}:{port}', 1, lambda: limits[-1])
     async with trio.open_nursery() as nursery:
--- a/cranberryrelay/serving/_http_server.py
+++ b/cranberryrelay/serving/_http_server.py
@@ -1,41 +1,40 @@
-"""HTTP server on hypercorn, configured the same way for every program."""
+"""HTTP server for ASGI apps, configured the same way for every program.
+
+The parser is h11, which hypercorn builds on as well; the tasks, sockets and
+limits of a connection are those of ``_http_connection``.
+"""
 
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
-from functools import partial
-from typing import Any, Final, NamedTuple
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
 
 import trio
-from hypercorn.app_wrappers import ASGIWrapper
-from hypercorn.config import Config
-from hypercorn.trio.lifespan import Lifespan
-from hypercorn.trio.worker_context import WorkerContext
-from hypercorn.typing import AppWrapper, ConnectionState
-from quart_trio import QuartTrio
 
 from cranberryrelay.serving._http_connection import (
+    App,
     HttpConnection,
     HttpServices,
 )
 from cranberryrelay.serving._idle_limits import IdleLimits
+from cranberryrelay.serving._lifespan import open_lifespan
 from cranberryrelay.serving._unanswered import (
     LINES_PER_SECOND_LIMIT,
     LineLimit,
-    Send,
     UnansweredLog,
     UnansweredObserver,
 )
+from cranberryrelay.wire import ByteStream
 
-# Upper bound for a request head; release notes set lower limits.
-HEAD_BYTES_LIMIT: Final = 65_536
-
-# Requests per connection, high enough to be no limit in practice.
-REQUESTS_LIMIT: Final = 1_000_000
+# Connections that wait to be accepted.
+BACKLOG: Final = 1024
 
 # Time for the head of a request where no release note limits it.
 DEFAULT_HEAD_SECONDS: Final = 10.0
 
+# Pause after the descriptors of the process have run out.
+DESCRIPTOR_PAUSE_SECONDS: Final = 0.1
+
 _LOG: Final = logging.getLogger('cranberryrelay.serving')
 
 
@@ -66,7 +65,7 @@
 
 
 async def serve_http(
-    app: QuartTrio,
+    app: App,
     options: HttpServerOptions,
     shutdown_trigger: Callable[[], Awaitable[None]],
 ) -> None:
@@ -74,52 +73,28 @@
 
     Running requests then get the grace period of the options to finish.
     """
-    config = make_config(options)
-    wrapped = ASGIWrapper(app)
-    async with open_lifespan(wrapped, config) as state:
-        server = HttpServer(wrapped, config, options, state)
+    async with open_lifespan(app) as state:
+        server = HttpServer(app, options, state)
         await server.run(shutdown_trigger)
 
 
-def make_config(options: HttpServerOptions) -> Config:
-    """Make the configuration of hypercorn."""
-    config = Config()
-    config.bind = [options.address]
-    config.h11_max_incomplete_size = HEAD_BYTES_LIMIT
-    config.keep_alive_max_requests = REQUESTS_LIMIT
-    config.include_server_header = False
-    config.include_date_header = False
-    config.accesslog = None
-    config.errorlog = None
-    return config
-
-
-@asynccontextmanager
-async def open_lifespan(
-    app: AppWrapper, config: Config
-) -> AsyncIterator[ConnectionState]:
-    """Start the app, and end it when the context ends."""
-    state = ConnectionState({})
-    lifespan = Lifespan(app, config, state)
-    async with trio.open_nursery() as nursery:
-        await nursery.start(lifespan.handle_lifespan)
-        await lifespan.wait_for_startup()
-        yield state
-        await lifespan.wait_for_shutdown()
-        nursery.cancel_scope.cancel()
+def open_listener(address: str) -> socket.socket:
+    """Listen on an 'IP:port'."""
+    host, _, port = address.rpartition(':')
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setblocking(False)
+    listener.bind((host, int(port)))
+    listener.listen(BACKLOG)
+    return listener
 
 
 class HttpServer:
     """Accepts connections, and closes all of them in a planned stop."""
 
     def __init__(
-        self,
-        app: AppWrapper,
-        config: Config,
-        options: HttpServerOptions,
-        state: ConnectionState,
+        self, app: App, options: HttpServerOptions, state: dict[str, object]
     ) -> None:
-        self.config = config
         self.options = options
         self.idle_limits = IdleLimits(options.read_idle_seconds)
         self.stopped = False
@@ -128,8 +103,6 @@
         self.all_closed = trio.Event()
         self.services = HttpServices(
             app,
-            config,
-            WorkerContext(None),
             state,
             self,
             options.observe_unanswered or UnansweredLog().write,
@@ -161,29 +134,33 @@
         shutdown_trigger: Callable[[], Awaitable[None]],
     ) -> None:
         """Accept connections until the trigger returns."""
-        async with trio.open_nursery() as accepting:
-            accepting.start_soon(
-                partial(
-                    trio.serve_listeners,
-                    self.handle_stream,
-                    self.open_listeners(),
-                    handler_nursery=handlers,
+        with open_listener(self.options.address) as listener:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(self.accept_from, listener, handlers)
+                await shutdown_trigger()
+                accepting.cancel_scope.cancel()
+
+    async def accept_from(
+        self, listener: socket.socket, handlers: trio.Nursery
+    ) -> None:
+        """Accept connections of a listener."""
+        while True:
+            await trio.lowlevel.wait_readable(listener)
+            try:
+                accepted, _ = listener.accept()
+            except (BlockingIOError, ConnectionError):
+                # The caller has left.
+                continue
+            except OSError as error:
+                _LOG.error(
+                    'no connection accepted', extra={'detail': repr(error)}
                 )
-            )
-            await shutdown_trigger()
-            accepting.cancel_scope.cancel()
-
-    def open_listeners(self) -> list[trio.SocketListener]:
-        """Open the sockets on which connections are accepted."""
-        sockets = self.config.create_sockets().insecure_sockets
-        for socket in sockets:
-            socket.listen(self.config.backlog)
-        return [
-            trio.SocketListener(trio.socket.from_stdlib_socket(socket))
-            for socket in sockets
-        ]
-
-    async def handle_stream(self, stream: trio.SocketStream) -> None:
+                await trio.sleep(DESCRIPTOR_PAUSE_SECONDS)
+                continue
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            handlers.start_soon(self.handle_stream, ByteStream(accepted))
+
+    async def handle_stream(self, stream: ByteStream) -> None:
         """Serve an accepted connection to its end."""
         connection = HttpConnection(self.services, stream)
         self.connections.add(connection)
@@ -204,7 +181,6 @@
         """Close idle connections and wait until the others have ended."""
         self.stopped = True
         self.all_closed = trio.Event()
-        await self.services.context.terminated.set()
         if not self.connections:
             return
         for connection in self.connections:
@@ -219,23 +195,3 @@
         """
         for connection in self.connections:
             connection.abort()
-
-
-async def send_shielded(send: Send, message: Any) -> None:
-    """Send an ASGI message; shield the last one from cancellation.
-
-    While the server handles the last message of a response, it notifies the
-    app that the request has ended, and the app cancels its tasks.  Without the
-    shield the server would be cancelled before it starts the idle timeout of
-    the connection.
-    """
-    with trio.CancelScope(shield=not message.get('more_body', False)):
-        await send(message)
-
-
-class ShieldedSendApp(QuartTrio):
-    """Shields the last message of each response from cancellation."""
-
-    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
-        """Handle an ASGI scope."""
-        await super().__call__(scope, receive, partial(send_shielded, send))
--- a/cranberryrelay/serving/_unanswered.py
+++ b/cranberryrelay/serving/_unanswered.py
@@ -1,8 +1,7 @@
 """Records of requests that were taken and not answered whole."""
 
 import logging
-from collections.abc import Awaitable, Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Any, Final, NamedTuple
 
@@ -11,12 +10,8 @@
 # Log lines on unanswered requests that a process writes within a second.
 LINES_PER_SECOND_LIMIT: Final = 20
 _DIGITS: Final = 3
-_BODY_MESSAGE: Final = 'http.response.body'
 _LOG: Final = logging.getLogger('cranberryrelay.serving')
 
-# ASGI send callable: passes a message from the app to the server.
-Send = Callable[[Any], Awaitable[None]]
-
 
 class EndReason(StrEnum):
     """Why a connection has ended."""
@@ -30,6 +25,9 @@
     # The head of a request took too long.
     HEAD_LIMIT = 'head limit'
 
+    # What arrived was no request.
+    MALFORMED = 'malformed request'
+
     # The server was stopped.
     PLANNED_STOP = 'planned stop'
 
@@ -57,31 +55,18 @@
 UnansweredObserver = Callable[[UnansweredRequest], None]
 
 
-class AnswerWatch:
-    """Tells whether the answer to a request has been sent whole."""
+class AnswerState:
+    """How far the answer to a request has got."""
+
+    def __init__(self) -> None:
+        # Whether its head has been sent.
+        self.begun = False
 
-    def __init__(self, is_broken: Callable[[], bool], send: Send) -> None:
-        self.is_broken = is_broken
-        self.send_message = send
+        # Whether it has been sent whole.
         self.complete = False
-        self.detail = ''
 
-    async def send(self, message: Any) -> None:
-        """Pass a message of the app on to the server."""
-        await self.send_message(message)
-        if message['type'] == _BODY_MESSAGE:
-            last = not message.get('more_body', False)
-            self.complete = last and not self.is_broken()
-
-
-@contextmanager
-def note_errors(watch: AnswerWatch) -> Iterator[None]:
-    """Record the error that ends the handling of a request."""
-    try:
-        yield
-    except Exception as error:
-        watch.detail = repr(error)
-        raise
+        # Error that the app raised; empty if it raised none.
+        self.detail = ''
 
 
 class LineLimit:
--- a/cranberryrelay/serving/tests/callers.py
+++ b/cranberryrelay/serving/tests/callers.py
@@ -7,12 +7,12 @@
 
 import trio
 from quart import request
+from quart_trio import QuartTrio
 from trio.testing import MockClock
 
 from cranberryrelay.relay.tests.fixtures import pick_port
 from cranberryrelay.serving import (
     HttpServerOptions,
-    ShieldedSendApp,
     UnansweredRequest,
     serve_http,
 )
@@ -162,7 +162,7 @@
 
 async def run_server(served: ServedApp, options: HttpServerOptions) -> None:
     """Serve until the test ends or stops the server."""
-    app = ShieldedSendApp('cranberryrelay.serving.tests')
+    app = QuartTrio('cranberryrelay.serving.tests')
     app.before_request(AnsweringRoutes(served).answer)
     await serve_http(app, options, served.stop.wait)
     served.ended.set()
--- a/cranberryrelay/soak/tests/broken_relay.py
+++ b/cranberryrelay/soak/tests/broken_relay.py
@@ -13,8 +13,8 @@
 
 from cranberryrelay.codes import Failure
 from cranberryrelay.relay import _model_path, _plain_path, _state
+from cranberryrelay.relay._front_app import RelayApp
 from cranberryrelay.relay_program import main
-from cranberryrelay.serving import ShieldedSendApp
 
 # Idle time from which the reuse of a connection counts as late; callers other
 # than those at the idle limit use their connections again sooner.
@@ -73,7 +73,7 @@
 
 def cut_reused_connections() -> None:
     """Cut the answer of a request that reuses a connection after a while."""
-    call = ShieldedSendApp.__call__
+    call = RelayApp.__call__
     idle_from: dict[Any, float] = {}
 
     async def call_and_cut(
@@ -84,13 +84,15 @@
         late = now - idle_from.get(caller, now) > LATE_REUSE_SECONDS
 
         async def send_or_cut(message: Any) -> None:
-            if not late or message['type'] != 'http.response.body':
-                await send(message)
+            if late:
+                # The sender is a method of the exchange on the connection.
+                send.__self__.writer.stream.reset()
+            await send(message)
 
         await call(self, scope, receive, send_or_cut)
         idle_from[caller] = trio.current_time()
 
-    patch_method(ShieldedSendApp, '__call__', call_and_cut)
+    patch_method(RelayApp, '__call__', call_and_cut)
 
 
 DEFECTS: Final = MappingProxyType(
