Add up the loads of a hub's members once a beat

Cause: for each of 33 members a hub looked through all reports for each engine that the member uses, and each look at the order of names sorted all 195.

The reports are turned once into shares by engine; a member's sum leaves its own share out. Names are kept in order by failure domain.

--- a/cranberryrelay/relay/_backlog.py
+++ b/cranberryrelay/relay/_backlog.py
@@ -6,7 +6,8 @@
 prompts that were sent earlier and are still unfinished.
 """
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
+from functools import reduce
 from typing import Final, NamedTuple
 
 # A load report of a peer is ignored from this age on.
@@ -33,6 +34,13 @@
     largest_prefill_ms: int
 
 
+# Load of an upstream without calls.
+NO_LOAD: Final = EngineLoad(0, 0, 0, 0)
+
+# Key of this instance's own share of a load; no instance has this name.
+OWN_SHARE: Final = ''
+
+
 class InFlightCall(NamedTuple):
     """A call to an upstream that has not ended."""
 
@@ -136,44 +144,63 @@
                 loads[upstream] = _combine(known, current) if known else current
         return loads
 
-    def loads_excluding(self, peer: str, now: float) -> dict[str, EngineLoad]:
-        """Return the load by all other instances where a peer has load."""
-        report = self.peer_reports.get(peer)
-        upstreams = report.loads if report else {}
-        combined: dict[str, EngineLoad] = {}
-        for upstream in upstreams:
-            combined[upstream] = EngineLoad(0, 0, 0, 0)
-            for load in self._reportable_loads(upstream, now, peer):
-                combined[upstream] = _combine(combined[upstream], load)
-        return combined
+    def loads_excluding_each(
+        self, peers: Iterable[str], now: float
+    ) -> dict[str, dict[str, EngineLoad]]:
+        """Return for each peer the load that all other instances cause."""
+        shares = self._shares(now)
+        total = {
+            upstream: reduce(_combine, by_instance.values())
+            for upstream, by_instance in shares.items()
+        }
+        excluding: dict[str, dict[str, EngineLoad]] = {}
+        for peer in peers:
+            report = self.peer_reports.get(peer)
+            loads = total.copy()
+            for upstream in report.loads if report else ():
+                by_instance = shares.get(upstream, {})
+                others = (
+                    load for name, load in by_instance.items() if name != peer
+                )
+                loads[upstream] = reduce(_combine, others, NO_LOAD)
+            excluding[peer] = loads
+        return excluding
+
+    def _shares(self, now: float) -> dict[str, dict[str, EngineLoad]]:
+        """Return the loads that may be reported, by upstream and instance."""
+        shares: dict[str, dict[str, EngineLoad]] = {
+            upstream: {OWN_SHARE: load}
+            for upstream, load in self.own_loads(now).items()
+        }
+        for name, peer in self.peer_reports.items():
+            age = now - peer.received_at
+            if age >= PEER_TTL_SECONDS:
+                continue
+            for upstream, load in peer.loads.items():
+                share = shares.setdefault(upstream, {})
+                share[name] = _advance(load, age)
+        return shares
 
     def _loads(self, upstream: str, now: float) -> list[EngineLoad]:
         return [
-            *self._reportable_loads(upstream, now),
+            *_current_loads(self.peer_reports, upstream, now),
+            *self._own_load(upstream, now),
             *_current_loads(self.fleet_reports, upstream, now),
         ]
 
-    def _reportable_loads(
-        self, upstream: str, now: float, excluded_peer: str = ''
-    ) -> list[EngineLoad]:
-        loads = _current_loads(self.peer_reports, upstream, now, excluded_peer)
+    def _own_load(self, upstream: str, now: float) -> tuple[EngineLoad, ...]:
         own = self.own_calls.get(upstream)
-        if own:
-            loads.append(_summarize(own, now))
-        return loads
+        return (_summarize(own, now),) if own else ()
 
 
 def _current_loads(
-    reports: dict[str, _PeerReport],
-    upstream: str,
-    now: float,
-    excluded_peer: str = '',
+    reports: dict[str, _PeerReport], upstream: str, now: float
 ) -> list[EngineLoad]:
     loads: list[EngineLoad] = []
-    for name, peer in reports.items():
+    for peer in reports.values():
         age = now - peer.received_at
         load = peer.loads.get(upstream)
-        if load and age < PEER_TTL_SECONDS and name != excluded_peer:
+        if load and age < PEER_TTL_SECONDS:
             loads.append(_advance(load, age))
     return loads
 
@@ -186,17 +213,19 @@
     """Return a reported load as of ``age`` seconds after its receipt."""
     if not load.prefill_ms:
         return load
-    return load._replace(oldest_age_ms=load.oldest_age_ms + _to_ms(age))
+    prefill_ms, oldest_age_ms, running, largest_prefill_ms = load
+    oldest_age_ms += _to_ms(age)
+    return EngineLoad(prefill_ms, oldest_age_ms, running, largest_prefill_ms)
 
 
 def _combine(first: EngineLoad, second: EngineLoad) -> EngineLoad:
+    prefill_ms, oldest_age_ms, running, largest_prefill_ms = first
+    other_prefill_ms, other_age_ms, other_running, other_largest_ms = second
     return EngineLoad(
-        prefill_ms=first.prefill_ms + second.prefill_ms,
-        oldest_age_ms=max(first.oldest_age_ms, second.oldest_age_ms),
-        running=first.running + second.running,
-        largest_prefill_ms=max(
-            first.largest_prefill_ms, second.largest_prefill_ms
-        ),
+        prefill_ms + other_prefill_ms,
+        max(oldest_age_ms, other_age_ms),
+        running + other_running,
+        max(largest_prefill_ms, other_largest_ms),
     )
 
 
--- a/cranberryrelay/relay/_group_hub.py
+++ b/cranberryrelay/relay/_group_hub.py
@@ -104,11 +104,7 @@
         self, names: Iterable[str], now: float
     ) -> dict[str, dict[str, EngineLoad]]:
         """Return for each member the load by engine that all others placed."""
-        total = self.backlog.combined_loads(now, self.backlog.peer_reports)
-        return {
-            name: total | self.backlog.loads_excluding(name, now)
-            for name in names
-        }
+        return self.backlog.loads_excluding_each(names, now)
 
     def take_member_update(self) -> PeerUpdate:
         """Return the queued peer update for members and clear it."""
--- a/cranberryrelay/relay/_membership.py
+++ b/cranberryrelay/relay/_membership.py
@@ -9,6 +9,7 @@
 additional messages.
 """
 
+from bisect import bisect_left, insort
 from typing import Final, NamedTuple
 
 from cranberryrelay.relay._lost_peers import LostPeers
@@ -84,6 +85,9 @@
         self.domain = domain
         self.peers: dict[str, Peer] = {}
 
+        # Names of the peers of each failure domain, in order.
+        self.ordered_names: dict[str, list[str]] = {}
+
         # Number of live instances of the fleet, as last reported by the hub.
         self.reported_fleet_size = 0
 
@@ -108,7 +112,9 @@
         known = self.peers.get(name)
         if known is not None and known.location == location:
             return False
+        self.remove(name)
         self.peers[name] = Peer(location, now)
+        insort(self.ordered_names.setdefault(location.domain, []), name)
         self.lost.discard(name)
         return True
 
@@ -158,7 +164,9 @@
 
     def remove(self, name: str) -> None:
         """Remove a peer."""
-        self.peers.pop(name, None)
+        removed = self.peers.pop(name, None)
+        if removed is not None:
+            self.ordered_names[removed.location.domain].remove(name)
 
     def remove_unresponsive(self, now: float) -> list[str]:
         """Remove the peers that have not answered for long; return them."""
@@ -209,17 +217,12 @@
 
     def successor_names(self) -> list[str]:
         """Return the names in the same failure domain that follow this one."""
-        return [
-            name
-            for name in self.peers
-            if name > self.name and self.in_own_domain(name)
-        ]
+        names = self.ordered_names.get(self.domain, [])
+        return names[bisect_left(names, self.name) :]
 
     def predecessor_count(self) -> int:
         """Return how many names in the same failure domain precede this one."""
-        return sum(
-            name < self.name and self.in_own_domain(name) for name in self.peers
-        )
+        return bisect_left(self.ordered_names.get(self.domain, []), self.name)
 
     def hub_candidates(self, domain: str, now: float) -> list[str]:
         """Return the instances to contact to reach a failure domain's hub.
@@ -259,8 +262,11 @@
 
     def other_domains(self) -> list[str]:
         """Return the other failure domains that have instances."""
-        found = {peer.location.domain for peer in self.peers.values()}
-        return sorted(found - {self.domain})
+        return sorted(
+            domain
+            for domain, names in self.ordered_names.items()
+            if names and domain != self.domain
+        )
 
     def other_hub_candidates(self, now: float) -> list[str]:
         """Return the instances to contact to reach the other hubs."""
@@ -285,13 +291,9 @@
         }
 
     def _hub_order(self, domain: str) -> list[str]:
-        names = sorted(
-            name
-            for name, peer in self.peers.items()
-            if peer.location.domain == domain
-        )
+        names = self.ordered_names.get(domain, [])
         if domain == self.domain and not self.leaving:
-            return [name for name in names if name < self.name]
+            return names[: bisect_left(names, self.name)]
         return names
 
 
