--- a/cranberryrelay/serving/tests/test_answers.py
+++ b/cranberryrelay/serving/tests/test_answers.py
@@ -65,7 +65,7 @@
     content = b''
     while True:
         message = await receive()
-        content += message['body']
+        content += bytes(message['body'])
         if not message['more_body']:
             return content
 
--- a/cranberryrelay/timing/tests/test_timer_service.py
+++ b/cranberryrelay/timing/tests/test_timer_service.py
@@ -4,6 +4,7 @@
 against subscribers that get too few or too many ticks.
 """
 
+from itertools import pairwise
 from unittest import TestCase
 
 import trio
@@ -55,7 +56,7 @@
         ticks = run((period,))[0]
         self.assertEqual(ticks[0], 0)
         self.assertLessEqual(abs(len(ticks) - 1 - SECONDS / period), 1)
-        gaps = [after - now for now, after in zip(ticks, ticks[1:])]
+        gaps = [after - now for now, after in pairwise(ticks)]
         for gap in gaps:
             self.assertAlmostEqual(gap, period)
 
@@ -87,9 +88,7 @@
                     nursery.cancel_scope.cancel()
                 await trio.sleep(1)
                 rests = not timers.is_ticking
-                async for now in timers.subscribe(0.1):
-                    return rests, now
-            return rests, -1
+                return rests, await timers.subscribe(0.1).receive()
 
         clock = MockClock(autojump_threshold=0)
         rests, ticked_at = trio.run(scenario, clock=clock)
