Let a starting instance wait a second for its hub before it watches

Cause: each instance watched both kinds of records as soon as it had listed them, as no hub had been heard yet: two calls of about ten at each start, 390 in a fleet of 195 that starts as a whole.

While it may still have a hub, which it knows once the instances are listed, it waits for at most a second. The first name of a failure domain watches at once. The first polls after a listing come sooner, so that a small fleet watches as soon as before. Three scenarios of test_group_talk; the first fails without the change.

--- a/cranberryrelay/relay/_duties.py
+++ b/cranberryrelay/relay/_duties.py
@@ -8,6 +8,11 @@
 # itself.
 MEMBER_LAG_SECONDS: Final = 1.0
 
+# Time from the start of an instance in which it does not watch the store, as
+# its hub answers it meanwhile: each watch is a call, and a fleet that starts as
+# a whole would make two for each instance.
+HUB_ANSWER_SECONDS: Final = 1.0
+
 # Number of delegates: the first names of a failure domain, which watch the
 # store while no hub can reach it.
 DELEGATE_LIMIT: Final = 3
@@ -28,6 +33,7 @@
         self.protocol = protocol
         self.membership = protocol.membership
         self.lagging_since: float | None = None
+        self.started_at = protocol.timers.now()
 
     def needs_watch(self) -> bool:
         """Return whether this instance must watch the store itself.
@@ -36,6 +42,8 @@
         of each failure domain try.
         """
         now = self.protocol.timers.now()
+        if self.awaits_hub(now):
+            return False
         if not self.membership.uses_hubs or self.membership.is_hub(now):
             return True
         heartbeat = self.protocol.hub_heartbeat
@@ -46,6 +54,22 @@
             and self.membership.predecessor_count() < DELEGATE_LIMIT
         )
 
+    def awaits_hub(self, now: float) -> bool:
+        """Return whether this instance has just started and its hub may answer.
+
+        Whether it has one is known once the instances have been listed. The
+        first name of a failure domain has none.
+        """
+        if self.protocol.hub_heartbeat is not None:
+            return False
+        if now - self.started_at >= HUB_ANSWER_SECONDS:
+            return False
+        if self.protocol.state.start_check.named_peers is None:
+            return True
+        return self.membership.uses_hubs and bool(
+            self.membership.predecessor_count()
+        )
+
     def batch_seconds(self) -> float:
         """Return how long to batch changes in the store, in seconds."""
         return WATCH_BATCH_SECONDS if self.membership.uses_hubs else 0
--- a/cranberryrelay/relay/_watchers.py
+++ b/cranberryrelay/relay/_watchers.py
@@ -23,6 +23,10 @@
 # Interval at which ``needs_watch`` is polled while this instance does not
 # watch; a small part of the time within which a change must be in force.
 POLL_SECONDS: Final = 0.5
+
+# The same right after a listing, as an instance that has just started soon
+# knows whether it watches.
+FIRST_POLL_SECONDS: Final = 0.05
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -90,9 +94,11 @@
 
     async def watch(self) -> None:
         """Watch until the store no longer has the history of changes."""
+        poll_seconds = FIRST_POLL_SECONDS
         while True:
             while not self.callbacks.needs_watch():
-                await self.timers.pause(POLL_SECONDS)
+                await self.timers.pause(poll_seconds)
+                poll_seconds = min(2 * poll_seconds, POLL_SECONDS)
             # After an outage the first answer must not wait for a change: it
             # tells whether the store was restored meanwhile.
             wait_seconds = 0 if self.failures else WATCH_TIMEOUT_SECONDS
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -19,7 +19,11 @@
 )
 from cranberryrelay.relay import Decoders, KindListing, RecordChange, Role
 from cranberryrelay.relay._backlog import InFlightCall
-from cranberryrelay.relay._duties import NOT_ELIGIBLE, Duties
+from cranberryrelay.relay._duties import (
+    HUB_ANSWER_SECONDS,
+    NOT_ELIGIBLE,
+    Duties,
+)
 from cranberryrelay.relay._membership import (
     RESPONSIVE_SECONDS,
     InstanceLocation,
@@ -178,6 +182,31 @@
     assert live == {INSTANCES}, live
 
 
+async def starting_member_awaits_its_hub(fleet: Fleet) -> None:
+    timers = fleet.protocols['front-b-00'].timers
+    await fleet.start('front-b-50', timers)
+    assert not fleet.duties['front-b-50'].needs_watch()
+    await trio.sleep(2 * HUB_ANSWER_SECONDS)
+    assert 'front-b-50' not in fleet.watchers()
+
+
+async def starting_member_without_hub_watches(fleet: Fleet) -> None:
+    timers = fleet.protocols['front-b-00'].timers
+    fleet.network.partitioned.add('front-b-50')
+    await fleet.start('front-b-50', timers)
+    assert not fleet.duties['front-b-50'].needs_watch()
+    await trio.sleep(HUB_ANSWER_SECONDS)
+    assert fleet.duties['front-b-50'].needs_watch()
+
+
+async def starting_first_name_watches(fleet: Fleet) -> None:
+    protocol = fleet.protocols['front-b-00']
+    await fleet.start('front-b', protocol.timers)
+    duties = fleet.duties['front-b']
+    duties.protocol.state.start_check.expect_peers(frozenset(fleet.protocols))
+    assert duties.needs_watch()
+
+
 async def message_rate_is_bounded(fleet: Fleet) -> None:
     fleet.network.message_counts.clear()
     fleet.network.cross_domain_messages = 0
@@ -390,6 +419,9 @@
         delegates_watch_when_hubs_lose_store,
         planned_stop_replaces_hub,
         role_change_reaches_all,
+        starting_member_awaits_its_hub,
+        starting_member_without_hub_watches,
+        starting_first_name_watches,
     )
     def test_group(self, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
         trio.run(run_scenario, scenario, clock=MockClock(autojump_threshold=0))
