End calls to the store and to engines whose answer trickles

Cause: their time limits held for each read, so a byte now and then kept a call open without end, and with it the task that watches, registers, writes the account or orders.

A call to the store ends two seconds after its answer should have begun, with an unknown outcome; a report or an order within the time that the lease counts on.

--- a/cranberryrelay/platform/_engine_control.py
+++ b/cranberryrelay/platform/_engine_control.py
@@ -23,6 +23,7 @@
     RoleOrder,
     Upstream,
 )
+from cranberryrelay.timing import limit_time
 from cranberryrelay.wire import INTEGER_MAX, KeptConnectionTransport
 
 _EXPECT_INSTANCE: Final = 'X-Cranberryrelay-Expect-Instance'
@@ -56,13 +57,14 @@
         self, engine: Upstream, observe: MetadataObserver
     ) -> Result[EngineReport, Failure]:
         """Request the report of an engine; errors: ``UPSTREAM_FAILED``."""
-        try:
-            response = await self.client.get(
-                f'http://{engine.address}/v1/report',
-                headers={_EXPECT_INSTANCE: engine.name},
-            )
-        except httpx.HTTPError as error:
-            return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
+        sent = await self.send(
+            'GET',
+            f'http://{engine.address}/v1/report',
+            {_EXPECT_INSTANCE: engine.name},
+        )
+        if isinstance(sent, Err):
+            return sent
+        response = sent.unwrap()
         observe(self.parse(response))
         if response.status_code != HTTPStatus.OK:
             detail = f'{engine.name}: status {response.status_code}'
@@ -83,22 +85,43 @@
             'fencing_token': order.token,
             'expect': order.orders_accepted,
         }
-        try:
-            response = await self.client.post(
-                f'http://{order.engine.address}/v1/order',
-                content=msgspec.json.encode(document),
-                headers={
-                    'Content-Type': 'application/json',
-                    _EXPECT_INSTANCE: order.engine.name,
-                },
-            )
-        except httpx.HTTPError as error:
-            return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
+        sent = await self.send(
+            'POST',
+            f'http://{order.engine.address}/v1/order',
+            {
+                'Content-Type': 'application/json',
+                _EXPECT_INSTANCE: order.engine.name,
+            },
+            msgspec.json.encode(document),
+        )
+        if isinstance(sent, Err):
+            return sent
+        response = sent.unwrap()
         observe(self.parse(response))
         return Ok(
             _OUTCOMES_BY_STATUS.get(response.status_code, OrderOutcome.REFUSED)
         )
 
+    async def send(
+        self,
+        method: str,
+        url: str,
+        headers: dict[str, str],
+        content: bytes = b'',
+    ) -> Result[httpx.Response, Failure]:
+        """Make a call; ends in limited time, however slowly bytes arrive."""
+        with limit_time(ORDER_TIMEOUT_SECONDS):
+            try:
+                return Ok(
+                    await self.client.request(
+                        method, url, headers=headers, content=content
+                    )
+                )
+            except httpx.HTTPError as error:
+                return Err(fail(ResultCode.UPSTREAM_FAILED, repr(error)))
+        detail = f'{url}: no answer within {ORDER_TIMEOUT_SECONDS} s'
+        return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
+
     def parse(self, response: httpx.Response) -> ResponseMetadata:
         """Return what the headers of a response say of the engine."""
         return self.dialect.parse_response(
--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -26,10 +26,14 @@
     RecordChange,
     StorePosition,
 )
+from cranberryrelay.timing import limit_time
 from cranberryrelay.wire import KeptConnectionTransport
 
 CONNECT_SECONDS: Final = 1.0
 CALL_SECONDS: Final = 2.0
+
+# Time for the whole of an answer, in addition to the time until it begins.
+ANSWER_SECONDS: Final = 2.0
 CONNECTIONS_LIMIT: Final = 8
 
 # Header of every answer: how often the store was restored from an older copy,
@@ -179,9 +183,24 @@
         timeout_seconds: float = CALL_SECONDS,
     ) -> Result[StoreAnswer, Failure]:
         timeout = httpx.Timeout(timeout_seconds, connect=CONNECT_SECONDS)
-        return await self._call('GET', path, params=query, timeout=timeout)
+        return await self._call(
+            'GET', path, timeout_seconds, params=query, timeout=timeout
+        )
 
     async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_seconds: float = CALL_SECONDS,
+        **arguments: Any,
+    ) -> Result[StoreAnswer, Failure]:
+        """Make a call; ends in limited time, however slowly bytes arrive."""
+        with limit_time(timeout_seconds + ANSWER_SECONDS):
+            return await self._request(method, path, **arguments)
+        detail = f'{method} {path}: the answer was not whole in time'
+        return Err(fail(ResultCode.STORE_OUTCOME_UNKNOWN, detail))
+
+    async def _request(
         self, method: str, path: str, **arguments: Any
     ) -> Result[StoreAnswer, Failure]:
         self.calls[method] = self.calls.get(method, 0) + 1
