Refuse a request whose body does not arrive in time

Cause: the body of a request had no time limit of its own (a minute with Quart, none since the plain app), so a caller that sends a byte now and then held its connection, and its request was answered after its route's limit.

A body has the time that its route gives the whole request; then the answer is 408, code 2112, as nothing has run. test_slow_callers: the rows of slow bodies got no answer before.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -53,6 +53,7 @@
     IDEMPOTENCY_KEY_REUSED = 2109
     IDEMPOTENCY_KEY_IN_FLIGHT = 2110
     EARLIER_ATTEMPT_UNRESOLVED = 2111
+    BODY_INCOMPLETE = 2112
 
     EVIDENCE_STALE = 3101
     NOT_READY = 3102
@@ -227,6 +228,9 @@
             HTTPStatus.CONFLICT,
             _MAY_HAVE_RUN,
         ),
+        ResultCode.BODY_INCOMPLETE: CodeEntry(
+            'the body did not arrive in time', HTTPStatus.REQUEST_TIMEOUT
+        ),
         ResultCode.EVIDENCE_STALE: CodeEntry(
             'this instance can not know which revision is in force',
             HTTPStatus.SERVICE_UNAVAILABLE,
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -8,7 +8,7 @@
 from typing import Any, Final, NamedTuple
 
 import trio
-from result import Err
+from result import Err, Ok, Result
 
 from cranberryrelay.codes import (
     CODE_TABLE,
@@ -43,9 +43,13 @@
     UnansweredLog,
     UnansweredRequest,
 )
+from cranberryrelay.timing import limit_time
 
 BODY_BYTES_HARD_LIMIT: Final = 16_000_000
 
+# Time for the body of a request without a route.
+DEFAULT_BODY_SECONDS: Final = 10.0
+
 # Most digits of a revision.
 REVISION_DIGITS: Final = 19
 
@@ -149,12 +153,13 @@
     async def answer_request(self, arrival: Arrival) -> Answer:
         """Read the whole request, run it, and make its answer."""
         arrived_at = self.context.timers.now()
-        body = await read_body(arrival.receive)
-        if body is None:
-            detail = f'the body exceeds {BODY_BYTES_HARD_LIMIT} bytes'
-            return self.refuse(fail(ResultCode.BODY_TOO_LARGE, detail))
+        limit_seconds = self.find_body_seconds(arrival.scope)
+        body = await read_body(arrival.receive, limit_seconds)
+        if isinstance(body, Err):
+            self.log_unread(arrival.scope, body.unwrap_err())
+            return self.refuse(body.unwrap_err())
         outcome = await self.pipeline.serve(
-            self.read_request(arrival.scope, body, arrived_at),
+            self.read_request(arrival.scope, body.unwrap(), arrived_at),
             arrival.stack,
             arrival.progress,
             may_forward=self.may_forward,
@@ -163,6 +168,33 @@
             return self.refuse(outcome.unwrap_err())
         return self.close_if_draining(make_response(outcome.unwrap()))
 
+    def find_body_seconds(self, scope: Any) -> float:
+        """Return how long the body of a request may take.
+
+        It is the time that its route gives the whole request.
+        """
+        table = self.context.state.table
+        route = None
+        if table is not None:
+            arrival = read_scope(scope, b'', 0)
+            route = table.find(arrival.host, arrival.path)
+        return DEFAULT_BODY_SECONDS if route is None else route.timeout_seconds
+
+    def log_unread(self, scope: Any, failure: Failure) -> None:
+        """Log and count a request whose body was not read whole."""
+        arrival = read_scope(scope, b'', 0)
+        _LOG.info(
+            'body not read',
+            extra={
+                'request_id': self.context.dialect.parse_request(
+                    arrival
+                ).request_id,
+                'code': failure.code.value,
+                'detail': failure.detail,
+            },
+        )
+        self.context.state.telemetry.count_request(None, failure.code)
+
     def read_request(
         self, scope: Any, body: bytes, arrived_at: float
     ) -> IncomingRequest:
@@ -284,23 +316,29 @@
         )
 
 
-async def read_body(receive: Any) -> bytes | None:
-    """Read the body of a request; None if it is too large.
+async def read_body(
+    receive: Any, limit_seconds: float
+) -> Result[bytes, Failure]:
+    """Read the body of a request, from the arrival of its head.
 
-    Raises ``CallerLeftError``.
+    Errors: ``BODY_TOO_LARGE``, ``BODY_INCOMPLETE``. Raises ``CallerLeftError``.
     """
     parts: list[bytes] = []
     length = 0
-    while True:
-        message = await receive()
-        if message['type'] != 'http.request':
-            raise CallerLeftError
-        parts.append(message.get('body', b''))
-        length += len(parts[-1])
-        if length > BODY_BYTES_HARD_LIMIT:
-            return None
-        if not message.get('more_body', False):
-            return b''.join(parts)
+    with limit_time(limit_seconds):
+        while True:
+            message = await receive()
+            if message['type'] != 'http.request':
+                raise CallerLeftError
+            parts.append(message.get('body', b''))
+            length += len(parts[-1])
+            if length > BODY_BYTES_HARD_LIMIT:
+                detail = f'the body exceeds {BODY_BYTES_HARD_LIMIT} bytes'
+                return Err(fail(ResultCode.BODY_TOO_LARGE, detail))
+            if not message.get('more_body', False):
+                return Ok(b''.join(parts))
+    detail = f'{length} bytes arrived within {limit_seconds:.3f} s'
+    return Err(fail(ResultCode.BODY_INCOMPLETE, detail))
 
 
 def find_header(scope: Any, wanted: bytes) -> str:
