Let a hub's answer count only for the instances that it hears

Cause: with hubs, one answer to the question which version began a stream counted for its failure domain, also if the hub had lost a member, which may be cut off and serve on.

An answer says how many instances of its failure domain the hub does not hear, and a hub tells its members, which may be asked in its place. Such an answer leaves the domain open, and the store decides, also for an instance that does not watch it. StreamAnswer grows at its end, LostMembers is a new kind: a build that knows neither passes over them. Four more rows show that a stream still goes on after the end of a member while the store answers.

--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -12,7 +12,11 @@
 from cranberryrelay.relay._rate_limits import LimitNews
 from cranberryrelay.relay._records import StorePosition
 from cranberryrelay.relay._start_check import StartNotice
-from cranberryrelay.relay._stream_inquiry import StreamAnswer, StreamQuestion
+from cranberryrelay.relay._stream_inquiry import (
+    LostMembers,
+    StreamAnswer,
+    StreamQuestion,
+)
 from cranberryrelay.relay._stream_versions import (
     LeavingStreams,
     StreamSummary,
@@ -144,4 +148,5 @@
     StreamQuestion,
     StreamAnswer,
     LeavingStreams,
+    LostMembers,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -40,6 +40,7 @@
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
 from cranberryrelay.relay._stream_inquiry import (
+    LostMembers,
     StreamAnswer,
     StreamInquiry,
     StreamQuestion,
@@ -343,6 +344,8 @@
         if not is_hub and not group_hub.members:
             group_hub.take_member_update()
             return
+        if is_hub:
+            self.stream_inquiry.tell_members(group_hub.members, now)
         backlog = self.state.backlog
         changes = backlog.change_count + backlog.report_count
         idle = now - self.last_group_heartbeat_at >= HUB_IDLE_HEARTBEAT_SECONDS
@@ -507,6 +510,7 @@
 def forget_peer(protocol: PeerProtocol, name: str) -> None:
     """Drop what a peer that has ended or is leaving has reported."""
     protocol.group_hub.members.pop(name, None)
+    protocol.stream_inquiry.told_lost.pop(name, None)
     protocol.state.backlog.remove_peer(name)
     protocol.forward_reports.remove_peer(name)
 
@@ -586,6 +590,11 @@
     protocol.stream_inquiry.handle_answer(sender, message)
 
 
+@dispatch_message.register
+def _(message: LostMembers, protocol: PeerProtocol, sender: str) -> None:
+    protocol.stream_inquiry.told_lost[sender] = message.members
+
+
 @dispatch_message.register
 def _(message: LeavingStreams, protocol: PeerProtocol, sender: str) -> None:
     protocol.news_exchange.handle_leaving_streams(message)
--- a/cranberryrelay/relay/_store_check.py
+++ b/cranberryrelay/relay/_store_check.py
@@ -57,12 +57,14 @@
             self.call_ended = trio.Event()
             await self.timers.pause(CHECK_INTERVAL_SECONDS)
 
-    async def confirm(self, asked_at: float, limit_seconds: float) -> bool:
+    async def confirm(
+        self, asked_at: float, limit_seconds: float, *, must_call: bool = False
+    ) -> bool:
         """Return whether the store answered a call sent after ``asked_at``.
 
-        Only instances that watch the store call it.
+        Only instances that watch the store call it, unless one must.
         """
-        if not self.duties.needs_watch():
+        if not must_call and not self.duties.needs_watch():
             return False
         with limit_time(limit_seconds):
             while max(self.answered_at, self.failed_at) < asked_at:
--- a/cranberryrelay/relay/_stream_inquiry.py
+++ b/cranberryrelay/relay/_stream_inquiry.py
@@ -29,6 +29,9 @@
 
 # Time that the store's answer is waited for.
 STORE_ANSWER_SECONDS: Final = 0.5
+
+# Interval at which a hub tells its members that it has lost some.
+TELL_SECONDS: Final = 1.0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -60,6 +63,17 @@
     # Whether the sender knows the versions that served before it started.
     informed: bool
 
+    # Other instances of the sender's failure domain that it, as their hub, does
+    # not hear: what they know is missing.
+    lost_members: int = 0
+
+
+class LostMembers(NamedTuple):
+    """Tells the members of a failure domain what their hub does not know."""
+
+    # How many instances of the failure domain the hub does not hear.
+    members: int
+
 
 class StreamLookup(Protocol):
     """Learns from others about a stream that is unknown here."""
@@ -76,10 +90,13 @@
 class StoreConfirmation(Protocol):
     """Reads from the store which engines serve."""
 
-    async def confirm(self, asked_at: float, limit_seconds: float) -> bool:
+    async def confirm(
+        self, asked_at: float, limit_seconds: float, *, must_call: bool = False
+    ) -> bool:
         """Return whether the store answered a call sent after ``asked_at``.
 
-        What it answered has been applied.
+        What it answered has been applied. ``must_call`` is true if nobody else
+        can tell.
         """
 
 
@@ -116,6 +133,9 @@
     # Groups that are expected to answer soon, and have not.
     awaited: set[str]
 
+    # Groups that have answered, but not for all of their instances.
+    incomplete: set[str]
+
     # Set once nothing is awaited any more.
     done: trio.Event
 
@@ -134,6 +154,13 @@
         self.open: dict[float, OpenInquiry] = {}
         self.last_asked_at = -inf
 
+        # What instances that act as this one's hub have told of lost members.
+        self.told_lost: dict[str, int] = {}
+
+        # When the members were last told, and of how many.
+        self.told_at = -inf
+        self.told_count = 0
+
     async def look_up(
         self, stream_id: str, service: str, limit_seconds: float
     ) -> bool:
@@ -147,13 +174,16 @@
             with limit_time(min(ANSWER_SECONDS, limit_seconds)):
                 await inquiry.done.wait()
             if inquiry.missing and self.may_store_decide(digest, service):
-                confirmed = await self.ask_store(asked_at, limit_seconds)
+                confirmed = await self.ask_store(
+                    asked_at, limit_seconds, must_call=bool(inquiry.incomplete)
+                )
         _LOG.info(
             'stream looked up',
             extra={
                 'stream_id': stream_id,
                 'asked': len(inquiry.groups),
                 'unanswered': sorted(inquiry.missing),
+                'incomplete': sorted(inquiry.incomplete),
                 'store_confirmed': confirmed,
                 'known': digest in self.versions.streams,
                 'versions': self.versions.known_versions(),
@@ -195,13 +225,15 @@
             return False
         return not self.versions.is_mixed(service)
 
-    async def ask_store(self, asked_at: float, limit_seconds: float) -> bool:
+    async def ask_store(
+        self, asked_at: float, limit_seconds: float, *, must_call: bool
+    ) -> bool:
         """Return whether the store has named all engines since the question."""
         if self.store is None:
             return False
         left = limit_seconds - (self.timers.now() - asked_at)
         limit = min(STORE_ANSWER_SECONDS, left)
-        return await self.store.confirm(asked_at, limit)
+        return await self.store.confirm(asked_at, limit, must_call=must_call)
 
     def make_inquiry(self, now: float) -> OpenInquiry:
         """Return who must be asked.
@@ -217,9 +249,10 @@
                 for name in self.hub_names(now)
             }
             missing = {*membership.other_domains(), *lost.values()}
-            if membership.predecessor_count():
+            if membership.predecessor_count() or self.count_lost(now):
                 # Nobody answers for the own domain if this instance has just
-                # replaced its hub, which may not have ended.
+                # replaced its hub, which may not have ended, or if it is the
+                # hub and has lost a member.
                 missing.add(membership.domain)
 
             # Members hear nothing of other domains, so none counts as silent.
@@ -229,11 +262,44 @@
             missing = {*groups, *lost}
             # If all are silent, it may be this instance that was cut off.
             awaited = set(membership.live_names(now)) or set(groups)
-        inquiry = OpenInquiry(groups, missing, awaited, trio.Event())
+        inquiry = OpenInquiry(groups, missing, awaited, set(), trio.Event())
         if not awaited:
             inquiry.done.set()
         return inquiry
 
+    def count_lost(self, now: float, asker: str = '') -> int:
+        """Return how many others of its failure domain a hub does not hear.
+
+        One that is cut off may serve on. A member answers for what its hub has
+        told it, and in a full mesh each instance answers for itself.
+        """
+        membership = self.membership
+        if not membership.uses_hubs:
+            return 0
+        hub = membership.own_hub(now)
+        if hub is not None:
+            return self.told_lost.get(hub, 0)
+        silent = [
+            name
+            for name in membership.ordered_names.get(membership.domain, ())
+            if name != asker and not membership.is_responsive(name, now)
+        ]
+        lost = list(membership.lost.domains(now).values())
+        return len(silent) + lost.count(membership.domain)
+
+    def tell_members(self, names: Iterable[str], now: float) -> None:
+        """Tell the members of lost ones, as a hub; nothing while none is."""
+        count = self.count_lost(now)
+        is_repeated = now - self.told_at < TELL_SECONDS
+        if count == self.told_count and (not count or is_repeated):
+            return
+        self.told_at = now
+        self.told_count = count
+        for name in names:
+            peer = self.membership.peers.get(name)
+            if peer is not None:
+                self.send(name, peer.location.address, LostMembers(count))
+
     def hub_names(self, now: float) -> Iterable[str]:
         """Return the instances to ask in a fleet with hubs."""
         membership = self.membership
@@ -247,7 +313,9 @@
         versions = self.versions
         known = [question.stream] if question.stream in versions.streams else []
         answer = self.describe_versions()._replace(
-            asked_at=question.asked_at, streams=versions.group(known)
+            asked_at=question.asked_at,
+            streams=versions.group(known),
+            lost_members=self.count_lost(self.timers.now(), sender),
         )
         self.send(sender, question.address, answer)
 
@@ -268,17 +336,20 @@
             return
         self.versions.informed = True
         if answer.asked_at is not None:
-            self.record_answer(sender, answer.asked_at, bool(answer.streams))
+            self.record_answer(sender, answer.asked_at, answer)
 
     def record_answer(
-        self, sender: str, asked_at: float, stream_known: bool
+        self, sender: str, asked_at: float, answer: StreamAnswer
     ) -> None:
         """Count the answer of an informed peer to a question that is open."""
         inquiry = self.open.get(asked_at)
         group = inquiry and inquiry.groups.get(sender)
         if inquiry is None or group is None:
             return
-        inquiry.missing.discard(group)
+        if answer.lost_members:
+            inquiry.incomplete.add(group)
+        else:
+            inquiry.missing.discard(group)
         inquiry.awaited.discard(group)
-        if stream_known or not inquiry.awaited:
+        if answer.streams or not inquiry.awaited:
             inquiry.done.set()
--- a/cranberryrelay/relay/tests/landed_forms.py
+++ b/cranberryrelay/relay/tests/landed_forms.py
@@ -86,6 +86,7 @@
             {'s': {'v1': 17.5, 'v2': 0}},
             True,
         ),
+        'LostMembers': (2,),
         'LeavingStreams': ([AnnouncedStreams('s', 'v2', [17])],),
     }
 )
--- a/cranberryrelay/relay/tests/test_out_of_step.py
+++ b/cranberryrelay/relay/tests/test_out_of_step.py
@@ -8,6 +8,7 @@
 
 from collections.abc import AsyncIterator, Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from types import SimpleNamespace
 from typing import Any, NamedTuple
 from unittest import TestCase
@@ -278,6 +279,27 @@
     play.network.loses_announcements = True
 
 
+def lose_instance(name: str, play: Play) -> None:
+    """Cut an instance from all others, which do not reach the store."""
+    others = [one for one in play.fleet.protocols if one != name]
+    play.unaware.update(others)
+    for other in others:
+        play.network.lost |= {(name, other), (other, name)}
+
+
+lose_other_hub = partial(lose_instance, HUB_FLEET[1])
+lose_other_member = partial(lose_instance, HUB_FLEET[4])
+lose_own_member = partial(lose_instance, HUB_FLEET[6])
+
+
+def kill_other_member(play: Play) -> None:
+    play.fleet.kill(HUB_FLEET[4])
+
+
+def kill_own_member(play: Play) -> None:
+    play.fleet.kill(HUB_FLEET[6])
+
+
 def kill_hub(play: Play) -> None:
     play.fleet.kill(HUB)
 
@@ -439,6 +461,54 @@
         UNKNOWN,
         names=(MEMBER, *HUB_FLEET),
     ),
+    Case(
+        'another domain has lost its hub',
+        lose_other_hub,
+        change_nothing,
+        UNKNOWN,
+        names=HUB_FLEET,
+        beginner=BEGINNER,
+    ),
+    Case(
+        'another domain has lost a member',
+        lose_other_member,
+        change_nothing,
+        UNKNOWN,
+        names=HUB_FLEET,
+        beginner=HUB_FLEET[4],
+    ),
+    Case(
+        'a hub that has lost a member',
+        lose_own_member,
+        change_nothing,
+        UNKNOWN,
+        names=HUB_FLEET,
+        beginner=HUB_FLEET[6],
+    ),
+    Case(
+        'a member, another domain has lost its hub',
+        lose_other_hub,
+        change_nothing,
+        UNKNOWN,
+        names=(MEMBER, *HUB_FLEET),
+        beginner=BEGINNER,
+    ),
+    Case(
+        'a member, another domain has lost a member',
+        lose_other_member,
+        change_nothing,
+        UNKNOWN,
+        names=(MEMBER, *HUB_FLEET),
+        beginner=HUB_FLEET[4],
+    ),
+    Case(
+        'a member, its domain has lost another one',
+        lose_own_member,
+        change_nothing,
+        UNKNOWN,
+        names=(MEMBER, *HUB_FLEET),
+        beginner=HUB_FLEET[6],
+    ),
 )
 
 ONE_VERSION_CASES = (
@@ -489,6 +559,38 @@
         None,
         names=(MEMBER, *HUB_FLEET),
     ),
+    Case(
+        'a hub, a member elsewhere is killed',
+        kill_other_member,
+        change_nothing,
+        None,
+        store=StoreMode.ANSWERS,
+        names=HUB_FLEET,
+    ),
+    Case(
+        'a hub, its member is killed',
+        kill_own_member,
+        change_nothing,
+        None,
+        store=StoreMode.ANSWERS,
+        names=HUB_FLEET,
+    ),
+    Case(
+        'a member, one elsewhere is killed',
+        kill_other_member,
+        change_nothing,
+        None,
+        store=StoreMode.ANSWERS,
+        names=(MEMBER, *HUB_FLEET),
+    ),
+    Case(
+        'a member, another one is killed',
+        kill_own_member,
+        change_nothing,
+        None,
+        store=StoreMode.ANSWERS,
+        names=(MEMBER, *HUB_FLEET),
+    ),
     # Nothing tells a peer that has ended from one that is only cut off, and
     # which may know a version that this instance can't learn of.
     Case(
