Remove the registration of an instance that is gone for good

Cause: an instance that starts waits for all that the store names, up to a second.

After 20 s of silence, or after its farewell, the instance that hears it (the first one; with hubs the hub of its failure domain) removes the registration, and registers it again if it is heard again.

--- a/cranberryrelay/relay/_store_tasks.py
+++ b/cranberryrelay/relay/_store_tasks.py
@@ -3,6 +3,7 @@
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._note_archive import NoteArchive
 from cranberryrelay.relay._records import RecordStore
+from cranberryrelay.relay._stale_registrations import StaleRegistrations
 from cranberryrelay.relay._store_check import StoreCheck
 from cranberryrelay.relay._stream_records import StreamRecorder
 from cranberryrelay.relay._supervision import SupervisedTask
@@ -17,8 +18,10 @@
     peers.stream_inquiry.store = check
     archive = NoteArchive(store, duties, peers.timers)
     recorder = StreamRecorder(store, duties, peers.timers)
+    stale = StaleRegistrations(store, duties, peers.timers)
     return [
         SupervisedTask('store check', check.run),
         SupervisedTask('notes', archive.run),
         SupervisedTask('streams', recorder.run),
+        SupervisedTask('stale registrations', stale.run),
     ]
