Let what a hub tells of lost members expire

Cause: a member kept the last number that its hub had told it; a hub that started again, or whose last message was lost, never took it back, and each unknown stream went to the store.

A hub repeats the number each second while it has lost members, and members go by it for three seconds.

--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -592,7 +592,7 @@
 
 @dispatch_message.register
 def _(message: LostMembers, protocol: PeerProtocol, sender: str) -> None:
-    protocol.stream_inquiry.told_lost[sender] = message.members
+    protocol.stream_inquiry.record_told(sender, message)
 
 
 @dispatch_message.register
--- a/cranberryrelay/relay/_stream_inquiry.py
+++ b/cranberryrelay/relay/_stream_inquiry.py
@@ -30,8 +30,10 @@
 # Time that the store's answer is waited for.
 STORE_ANSWER_SECONDS: Final = 0.5
 
-# Interval at which a hub tells its members that it has lost some.
+# Interval at which a hub tells its members that it has lost some, and the time
+# for which they go by it; it is not told that none is lost any more.
 TELL_SECONDS: Final = 1.0
+TOLD_TTL_SECONDS: Final = 3.0
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
 
 
@@ -75,6 +77,16 @@
     members: int
 
 
+class ToldLoss(NamedTuple):
+    """What a hub has told its members of lost ones."""
+
+    # How many instances it does not hear.
+    members: int
+
+    # When that arrived, on the local clock.
+    received_at: float
+
+
 class StreamLookup(Protocol):
     """Learns from others about a stream that is unknown here."""
 
@@ -155,11 +167,10 @@
         self.last_asked_at = -inf
 
         # What instances that act as this one's hub have told of lost members.
-        self.told_lost: dict[str, int] = {}
+        self.told_lost: dict[str, ToldLoss] = {}
 
-        # When the members were last told, and of how many.
+        # When the members were last told.
         self.told_at = -inf
-        self.told_count = 0
 
     async def look_up(
         self, stream_id: str, service: str, limit_seconds: float
@@ -278,7 +289,9 @@
             return 0
         hub = membership.own_hub(now)
         if hub is not None:
-            return self.told_lost.get(hub, 0)
+            told = self.told_lost.get(hub)
+            is_recent = told and now - told.received_at < TOLD_TTL_SECONDS
+            return told.members if told and is_recent else 0
         silent = [
             name
             for name in membership.ordered_names.get(membership.domain, ())
@@ -289,17 +302,22 @@
 
     def tell_members(self, names: Iterable[str], now: float) -> None:
         """Tell the members of lost ones, as a hub; nothing while none is."""
+        if now - self.told_at < TELL_SECONDS:
+            return
         count = self.count_lost(now)
-        is_repeated = now - self.told_at < TELL_SECONDS
-        if count == self.told_count and (not count or is_repeated):
+        if not count:
             return
         self.told_at = now
-        self.told_count = count
         for name in names:
             peer = self.membership.peers.get(name)
             if peer is not None:
                 self.send(name, peer.location.address, LostMembers(count))
 
+    def record_told(self, hub: str, message: LostMembers) -> None:
+        """Record what a hub does not know."""
+        told = ToldLoss(message.members, self.timers.now())
+        self.told_lost[hub] = told
+
     def hub_names(self, now: float) -> Iterable[str]:
         """Return the instances to ask in a fleet with hubs."""
         membership = self.membership
