--- a/cranberryrelay/relay/_store_tasks.py
+++ b/cranberryrelay/relay/_store_tasks.py
@@ -3,10 +3,10 @@
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._note_archive import NoteArchive
 from cranberryrelay.relay._records import RecordStore
-from cranberryrelay.relay._stale_registrations import StaleRegistrations
 from cranberryrelay.relay._store_check import StoreCheck
 from cranberryrelay.relay._stream_records import StreamRecorder
 from cranberryrelay.relay._supervision import SupervisedTask
+from cranberryrelay.relay.peers import StaleRegistrations
 
 
 def make_store_tasks(
--- /dev/null
+++ b/cranberryrelay/relay/peers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cranberryrelay.relay.peers."""
--- a/cranberryrelay/relay/tests/test_stale_registrations.py
+++ b/cranberryrelay/relay/peers/tests/test_stale_registrations.py
@@ -15,7 +15,7 @@
 from trio.testing import MockClock
 
 from cranberryrelay.codes import Failure
-from cranberryrelay.relay._stale_registrations import (
+from cranberryrelay.relay.peers._stale_registrations import (
     LOOK_SECONDS,
     STALE_SECONDS,
     StaleRegistrations,
