Tell the outcomes of calls on stale registrations apart

Cause: any error of a removal or a registration counted as the same.

A missing record is removed, one that exists is registered, and everything else is tried again.

--- a/cranberryrelay/relay/peers/_stale_registrations.py
+++ b/cranberryrelay/relay/peers/_stale_registrations.py
@@ -6,8 +6,11 @@
 """
 
 import logging
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
+from result import Result
+
+from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._records import RecordStore
@@ -107,22 +110,37 @@
         ]
 
     async def remove(self, name: str) -> None:
-        """Remove a registration; one that cannot be is tried again."""
+        """Remove a registration; one that cannot be is tried again.
+
+        Another instance that looked after the peer may have removed it.
+        """
         outcome = await self.store.remove(INSTANCE_KIND, name)
+        is_gone = has_outcome(outcome, ResultCode.STORE_NOT_FOUND)
         _LOG.info(
-            'stale registration removed',
-            extra={'peer': name, 'ok': outcome.is_ok()},
+            'stale registration removed', extra={'peer': name, 'ok': is_gone}
         )
-        if outcome.is_ok():
+        if is_gone:
             self.removed[name] = self.known.pop(name).location
 
     async def restore(self, name: str) -> None:
-        """Register a peer again that has been heard since."""
-        location = self.removed.pop(name)
+        """Register a peer again that has been heard since.
+
+        One that cannot be is tried again; it may have registered itself.
+        """
+        location = self.removed[name]
         fields = LocationFields(
             address=location.address, domain=location.domain
         )
         outcome = await self.store.create(INSTANCE_KIND, name, fields)
+        is_registered = has_outcome(outcome, ResultCode.STORE_CONFLICT)
         _LOG.info(
-            'registration restored', extra={'peer': name, 'ok': outcome.is_ok()}
+            'registration restored', extra={'peer': name, 'ok': is_registered}
         )
+        if is_registered:
+            self.removed.pop(name)
+
+
+def has_outcome(outcome: Result[Any, Failure], same_as: ResultCode) -> bool:
+    """Return whether a call has, or finds, the outcome that it is made for."""
+    failure = outcome.err()
+    return failure is None or failure.code is same_as
--- a/cranberryrelay/relay/peers/tests/test_stale_registrations.py
+++ b/cranberryrelay/relay/peers/tests/test_stale_registrations.py
@@ -11,10 +11,10 @@
 
 import trio
 from nose2.tools import params
-from result import Ok, Result
+from result import Err, Ok, Result
 from trio.testing import MockClock
 
-from cranberryrelay.codes import Failure
+from cranberryrelay.codes import Failure, ResultCode, fail
 from cranberryrelay.relay.peers._stale_registrations import (
     LOOK_SECONDS,
     STALE_SECONDS,
@@ -34,15 +34,28 @@
     def __init__(self, names: tuple[str, ...]) -> None:
         self.names = set(names)
 
+        # Calls to remove a record, and those to create one that are refused
+        # before one succeeds.
+        self.removals = 0
+        self.refusals = 0
+
     async def remove(self, kind: str, name: str) -> Result[None, Failure]:
         """Remove a record."""
+        self.removals += 1
+        if name not in self.names:
+            return Err(fail(ResultCode.STORE_NOT_FOUND, name))
         self.names.discard(name)
         return Ok(None)
 
     async def create(
         self, kind: str, name: str, fields: Any
     ) -> Result[Any, Failure]:
-        """Create a record."""
+        """Create a record, unless the store refuses the call."""
+        if self.refusals:
+            self.refusals -= 1
+            return Err(fail(ResultCode.STORE_UNAVAILABLE, name))
+        if name in self.names:
+            return Err(fail(ResultCode.STORE_CONFLICT, name))
         self.names.add(name)
         return Ok(SimpleNamespace())
 
@@ -54,12 +67,17 @@
     *,
     heals: bool = False,
     says_farewell: bool = False,
-) -> set[str]:
-    """Cut an instance off; return the registrations in the end."""
+    is_registered: bool = True,
+    refusals: int = 0,
+) -> FakeStore:
+    """Cut an instance off; return the store in the end."""
     async with open_timer_service() as timers, trio.open_nursery() as nursery:
         network = FakeNetwork()
         fleet = Fleet(network, nursery)
         store: Any = FakeStore(names)
+        store.refusals = refusals
+        if not is_registered:
+            store.names.discard(gone)
         for name in names:
             await fleet.start(name, timers)
             duties = fleet.duties[name]
@@ -75,16 +93,21 @@
             network.partitioned.clear()
             await trio.sleep(2 * LOOK_SECONDS)
         nursery.cancel_scope.cancel()
-    left: set[str] = store.names
-    return left
+    played: FakeStore = store
+    return played
 
 
-def run(*args: Any, **options: Any) -> set[str]:
-    """Play in virtual time."""
+def run_store(*args: Any, **options: Any) -> FakeStore:
+    """Play in virtual time; return the store."""
     scenario = partial(play, *args, **options)
     return trio.run(scenario, clock=MockClock(autojump_threshold=0))
 
 
+def run(*args: Any, **options: Any) -> set[str]:
+    """Play in virtual time; return the registrations in the end."""
+    return run_store(*args, **options).names
+
+
 class StaleRegistrationTest(TestCase):
     """Instances that are gone for long, or for a while."""
 
@@ -115,3 +138,20 @@
     ) -> None:
         left = run(names, gone, NOTICE_SECONDS, heals=True)
         self.assertEqual(left, set(names))
+
+    # Guards against a registration that is lost as the store refuses a call.
+    @params((MESH, MESH[4]), (HUBS, HUBS[7]))
+    def test_refused_registration_is_tried_again(
+        self, names: tuple[str, ...], gone: str
+    ) -> None:
+        left = run(names, gone, NOTICE_SECONDS, heals=True, refusals=1)
+        self.assertEqual(left, set(names))
+
+    # Guards against a call each few seconds for what another one has removed.
+    @params((MESH, MESH[4]), (HUBS, HUBS[7]))
+    def test_missing_registration_is_removed_once(
+        self, names: tuple[str, ...], gone: str
+    ) -> None:
+        seconds = NOTICE_SECONDS + 10 * LOOK_SECONDS
+        store = run_store(names, gone, seconds, is_registered=False)
+        self.assertEqual(store.removals, 1)
