Read the head of a request once

Cause: each request was read from its scope twice, once for the time of its body and once for the pipeline, and three places looked up its id in the same way, two of them with the same log line and count.

The request is read without its body, which is added once it has arrived. Its id and the end outside the pipeline have one function each. The length that an answer's headers might have had is not looked for: none has one, as the fields that frame a body are left out where answers are read. No change in behaviour; test_forwarding, test_planned_stop, test_slow_callers and test_bad_input pass.

--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -135,31 +135,40 @@
         """Make the answer to a request for which a stop leaves no time."""
         progress = arrival.progress
         failure = find_stop_failure(may_have_run=progress.may_have_run)
-        request = read_scope(arrival.scope, b'', 0)
-        _LOG.info(
+        self.record_ended(
             'request ended by the stop',
-            extra={
-                'request_id': self.context.dialect.parse_request(
-                    request
-                ).request_id,
-                'code': failure.code.value,
-                'ran': failure.ran,
-                'passed_on': progress.passed_on,
-            },
+            arrival.scope,
+            failure,
+            ran=failure.ran,
+            passed_on=progress.passed_on,
         )
-        self.context.state.telemetry.count_request(None, failure.code)
         return self.refuse(failure)
 
+    def record_ended(
+        self, message: str, scope: Any, failure: Failure, **extra: object
+    ) -> None:
+        """Log and count a request that ends outside the pipeline."""
+        request_id = read_request_id(self.context, scope)
+        code = failure.code
+        _LOG.info(
+            message,
+            extra={'request_id': request_id, 'code': code.value, **extra},
+        )
+        self.context.state.telemetry.count_request(None, code)
+
     async def answer_request(self, arrival: Arrival) -> Answer:
         """Read the whole request, run it, and make its answer."""
-        arrived_at = self.context.timers.now()
-        limit_seconds = self.find_body_seconds(arrival.scope)
+        request = self.read_request(arrival.scope, self.context.timers.now())
+        limit_seconds = self.find_body_seconds(request)
         body = await read_body(arrival.receive, limit_seconds)
         if isinstance(body, Err):
-            self.log_unread(arrival.scope, body.unwrap_err())
-            return self.refuse(body.unwrap_err())
+            failure = body.unwrap_err()
+            self.record_ended(
+                'body not read', arrival.scope, failure, detail=failure.detail
+            )
+            return self.refuse(failure)
         outcome = await self.pipeline.serve(
-            self.read_request(arrival.scope, body.unwrap(), arrived_at),
+            request._replace(body=body.unwrap()),
             arrival.stack,
             arrival.progress,
             may_forward=self.may_forward,
@@ -168,38 +177,18 @@
             return self.refuse(outcome.unwrap_err())
         return self.close_if_draining(make_response(outcome.unwrap()))
 
-    def find_body_seconds(self, scope: Any) -> float:
+    def find_body_seconds(self, request: IncomingRequest) -> float:
         """Return how long the body of a request may take.
 
         It is the time that its route gives the whole request.
         """
         table = self.context.state.table
-        route = None
-        if table is not None:
-            arrival = read_scope(scope, b'', 0)
-            route = table.find(arrival.host, arrival.path)
+        route = table and table.find(request.host, request.path)
         return DEFAULT_BODY_SECONDS if route is None else route.timeout_seconds
 
-    def log_unread(self, scope: Any, failure: Failure) -> None:
-        """Log and count a request whose body was not read whole."""
-        arrival = read_scope(scope, b'', 0)
-        _LOG.info(
-            'body not read',
-            extra={
-                'request_id': self.context.dialect.parse_request(
-                    arrival
-                ).request_id,
-                'code': failure.code.value,
-                'detail': failure.detail,
-            },
-        )
-        self.context.state.telemetry.count_request(None, failure.code)
-
-    def read_request(
-        self, scope: Any, body: bytes, arrived_at: float
-    ) -> IncomingRequest:
-        """Read the request that is being handled."""
-        return read_scope(scope, body, arrived_at)
+    def read_request(self, scope: Any, arrived_at: float) -> IncomingRequest:
+        """Read the request that is being handled, without its body."""
+        return read_scope(scope, arrived_at)
 
     def refuse(self, failure: Failure) -> Answer:
         """Make an error response.
@@ -251,11 +240,9 @@
         arrival.stack.enter_context(self.context.state.forwarded.track())
         return await super().handle_request(arrival)
 
-    def read_request(
-        self, scope: Any, body: bytes, arrived_at: float
-    ) -> IncomingRequest:
+    def read_request(self, scope: Any, arrived_at: float) -> IncomingRequest:
         """Read the request without the header for this instance alone."""
-        request = super().read_request(scope, body, arrived_at)
+        request = super().read_request(scope, arrived_at)
         headers = [
             pair
             for pair in request.headers
@@ -349,8 +336,13 @@
     return ''
 
 
-def read_scope(scope: Any, body: bytes, arrived_at: float) -> IncomingRequest:
-    """Read the request of an ASGI scope.
+def read_request_id(context: RelayContext, scope: Any) -> str:
+    """Return the id of the request of an ASGI scope; '' if it has none."""
+    return context.dialect.parse_request(read_scope(scope, 0)).request_id
+
+
+def read_scope(scope: Any, arrived_at: float) -> IncomingRequest:
+    """Read the request of an ASGI scope, without its body.
 
     The dialect fills in the fields that depend on the headers.
     """
@@ -363,7 +355,7 @@
         path=path,
         host=find_header(scope, b'host').partition(':')[0].lower(),
         headers=tuple(scope['headers']),
-        body=body,
+        body=b'',
         timeout_seconds=None,
         arrived_at=arrived_at,
         last_event_number=None,
@@ -452,9 +444,6 @@
     headers = list(answer.headers)
     if has_body and isinstance(answer.body, bytes):
         length = str(len(answer.body)).encode()
-        headers = [
-            pair for pair in headers if pair[0].lower() != _CONTENT_LENGTH
-        ]
         headers.append((_CONTENT_LENGTH, length))
     return {
         'type': 'http.response.start',
@@ -473,11 +462,10 @@
     def record(self, unanswered: UnansweredRequest) -> None:
         """Record a request, whoever ended its connection."""
         scope = unanswered.scope
-        arrival = read_scope(scope, b'', 0)
         progress = scope['state'].get(_PROGRESS, RequestProgress())
         self.log.write(
             unanswered,
-            request_id=self.context.dialect.parse_request(arrival).request_id,
+            request_id=read_request_id(self.context, scope),
             passed_on=progress.passed_on,
             may_have_run=progress.may_have_run,
         )
