Add up the loads of peers in one place

Cause: the sum for other hubs and the sums for members went through the same reports in loops of their own.

Both add up the shares by engine and instance. test_hub_sums now checks both sums against one that it makes itself, report by report; before, it compared the one with the other. No change in behaviour.

--- a/cranberryrelay/relay/_backlog.py
+++ b/cranberryrelay/relay/_backlog.py
@@ -133,26 +133,14 @@
         self, now: float, peers: Container[str]
     ) -> dict[str, EngineLoad]:
         """Return the total load by this instance and the given peers."""
-        loads = self.own_loads(now)
-        for name, peer in self.peer_reports.items():
-            age = now - peer.received_at
-            if name not in peers or age >= PEER_TTL_SECONDS:
-                continue
-            for upstream, load in peer.loads.items():
-                current = _advance(load, age)
-                known = loads.get(upstream)
-                loads[upstream] = _combine(known, current) if known else current
-        return loads
+        return _combine_shares(self._shares(now, peers))
 
     def loads_excluding_each(
         self, peers: Iterable[str], now: float
     ) -> dict[str, dict[str, EngineLoad]]:
         """Return for each peer the load that all other instances cause."""
-        shares = self._shares(now)
-        total = {
-            upstream: reduce(_combine, by_instance.values())
-            for upstream, by_instance in shares.items()
-        }
+        shares = self._shares(now, self.peer_reports)
+        total = _combine_shares(shares)
         excluding: dict[str, dict[str, EngineLoad]] = {}
         for peer in peers:
             report = self.peer_reports.get(peer)
@@ -166,15 +154,20 @@
             excluding[peer] = loads
         return excluding
 
-    def _shares(self, now: float) -> dict[str, dict[str, EngineLoad]]:
-        """Return the loads that may be reported, by upstream and instance."""
+    def _shares(
+        self, now: float, peers: Container[str]
+    ) -> dict[str, dict[str, EngineLoad]]:
+        """Return the loads by this instance and the given peers.
+
+        They are ordered by upstream and instance.
+        """
         shares: dict[str, dict[str, EngineLoad]] = {
             upstream: {OWN_SHARE: load}
             for upstream, load in self.own_loads(now).items()
         }
         for name, peer in self.peer_reports.items():
             age = now - peer.received_at
-            if age >= PEER_TTL_SECONDS:
+            if name not in peers or age >= PEER_TTL_SECONDS:
                 continue
             for upstream, load in peer.loads.items():
                 share = shares.setdefault(upstream, {})
@@ -205,6 +198,15 @@
     return loads
 
 
+def _combine_shares(
+    shares: dict[str, dict[str, EngineLoad]],
+) -> dict[str, EngineLoad]:
+    return {
+        upstream: reduce(_combine, by_instance.values())
+        for upstream, by_instance in shares.items()
+    }
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * _MILLISECONDS)
 
--- a/cranberryrelay/relay/tests/test_hub_sums.py
+++ b/cranberryrelay/relay/tests/test_hub_sums.py
@@ -42,6 +42,26 @@
     return backlog
 
 
+def add_up(backlog: Backlog, peers: set[str]) -> dict[str, EngineLoad]:
+    """Add up the loads of a hub and of some peers, one after another."""
+    loads = [(NOW, backlog.own_loads(NOW))]
+    for name, report in backlog.peer_reports.items():
+        if name in peers and NOW - report.received_at < PEER_TTL_SECONDS:
+            loads.append((report.received_at, report.loads))
+    total: dict[str, EngineLoad] = {}
+    for received_at, by_engine in loads:
+        for engine, load in by_engine.items():
+            prefill, oldest, running, largest = total.get(engine, NO_LOAD)
+            aged = round(1000 * (NOW - received_at)) if load.prefill_ms else 0
+            total[engine] = EngineLoad(
+                prefill + load.prefill_ms,
+                max(oldest, load.oldest_age_ms + aged),
+                running + load.running,
+                max(largest, load.largest_prefill_ms),
+            )
+    return total
+
+
 class HubSumsTest(TestCase):
     """Sums over the reports of a fleet."""
 
@@ -52,7 +72,8 @@
         sums = backlog.loads_excluding_each(MEMBERS, NOW)
         for member in MEMBERS:
             others = {*MEMBERS, *HUBS} - {member}
-            expected = backlog.combined_loads(NOW, others)
+            expected = add_up(backlog, others)
+            self.assertEqual(backlog.combined_loads(NOW, others), expected)
             found = {
                 name: load
                 for name, load in sums[member].items()
@@ -63,5 +84,5 @@
     def test_member_without_a_report_gets_all(self) -> None:
         backlog = make_backlog(random.Random(6))
         sums = backlog.loads_excluding_each(['front-a-40'], NOW)
-        expected = backlog.combined_loads(NOW, {*MEMBERS, *HUBS})
+        expected = add_up(backlog, {*MEMBERS, *HUBS})
         self.assertEqual(sums['front-a-40'], expected)
