Test that what a hub tells of lost members expires

A scenario in virtual time: a member goes by what its hub tells while another one is cut off, and no more once that is back. Without a report a member has heard of none lost, which saves a case.

--- a/cranberryrelay/relay/_stream_inquiry.py
+++ b/cranberryrelay/relay/_stream_inquiry.py
@@ -87,6 +87,9 @@
     received_at: float
 
 
+NOTHING_TOLD: Final = ToldLoss(0, -inf)
+
+
 class StreamLookup(Protocol):
     """Learns from others about a stream that is unknown here."""
 
@@ -289,9 +292,9 @@
             return 0
         hub = membership.own_hub(now)
         if hub is not None:
-            told = self.told_lost.get(hub)
-            is_recent = told and now - told.received_at < TOLD_TTL_SECONDS
-            return told.members if told and is_recent else 0
+            told = self.told_lost.get(hub, NOTHING_TOLD)
+            is_recent = now - told.received_at < TOLD_TTL_SECONDS
+            return told.members if is_recent else 0
         silent = [
             name
             for name in membership.ordered_names.get(membership.domain, ())
@@ -315,8 +318,7 @@
 
     def record_told(self, hub: str, message: LostMembers) -> None:
         """Record what a hub does not know."""
-        told = ToldLoss(message.members, self.timers.now())
-        self.told_lost[hub] = told
+        self.told_lost[hub] = ToldLoss(message.members, self.timers.now())
 
     def hub_names(self, now: float) -> Iterable[str]:
         """Return the instances to ask in a fleet with hubs."""
--- a/cranberryrelay/relay/tests/test_group_talk.py
+++ b/cranberryrelay/relay/tests/test_group_talk.py
@@ -26,6 +26,7 @@
 )
 from cranberryrelay.relay._membership import (
     RESPONSIVE_SECONDS,
+    RETRY_PERIOD_SECONDS,
     InstanceLocation,
 )
 from cranberryrelay.relay._peer_protocol import HEARTBEAT_SECONDS, PeerProtocol
@@ -33,6 +34,10 @@
 from cranberryrelay.relay._registration import send_hello_to_listed
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._stream_inquiry import (
+    TELL_SECONDS,
+    TOLD_TTL_SECONDS,
+)
 from cranberryrelay.relay.tests.fixtures import at, make_settings, make_table
 from cranberryrelay.relay.tests.test_store_replica import make_upstream_record
 from cranberryrelay.timing import open_timer_service
@@ -199,6 +204,18 @@
     assert fleet.duties['front-b-50'].needs_watch()
 
 
+async def member_goes_by_the_loss_of_its_hub(fleet: Fleet) -> None:
+    inquiry = fleet.protocols['front-b-03'].stream_inquiry
+    assert not inquiry.count_lost(trio.current_time())
+    fleet.network.partitioned.add('front-b-05')
+    await trio.sleep(RESPONSIVE_SECONDS + 2 * TELL_SECONDS)
+    assert inquiry.count_lost(trio.current_time()) == 1
+    fleet.network.partitioned.clear()
+    # The lost one may only try again after the whole period.
+    await trio.sleep(RETRY_PERIOD_SECONDS + TELL_SECONDS + TOLD_TTL_SECONDS)
+    assert not inquiry.count_lost(trio.current_time())
+
+
 async def starting_first_name_watches(fleet: Fleet) -> None:
     protocol = fleet.protocols['front-b-00']
     await fleet.start('front-b', protocol.timers)
@@ -422,6 +439,7 @@
         starting_member_awaits_its_hub,
         starting_member_without_hub_watches,
         starting_first_name_watches,
+        member_goes_by_the_loss_of_its_hub,
     )
     def test_group(self, scenario: Callable[[Fleet], Awaitable[None]]) -> None:
         trio.run(run_scenario, scenario, clock=MockClock(autojump_threshold=0))
