Review case 4: removals before a restarted hub's listing are skipped

An instance that has started states in its repairs that it knows all removals after the receiver's position, though it knows none before its first listing. With hubs the other instances of its zone never learn of them.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -178,6 +178,7 @@
         self.command = system['roles']['relay']['run']
         self.store = Store(self.other_ip, next(self.ports))
         self.engines = []
+        self.late_engines = []
         self.instances = [
             Instance(self, f'front-{ZONES[number % 3]}-{number // 3 + 1}',
                      ZONES[number % 3], ip)
@@ -191,9 +192,17 @@
         self.lines.append(line)
         print(line, flush=True)
 
-    def add_engine(self, name, service, zone, stage=''):
+    def make_engine(self, name, service, zone, stage=''):
+        """Make an engine that the case starts itself."""
         engine = Engine(name, service, self.other_ip, next(self.ports), zone,
                         stage)
+        self.late_engines.append(engine)
+        return engine
+
+    def add_engine(self, name, service, zone, stage=''):
+        """Make an engine that is there from the start."""
+        engine = self.make_engine(name, service, zone, stage)
+        self.late_engines.remove(engine)
         self.engines.append(engine)
         return engine
 
@@ -242,7 +251,7 @@
             if instance.process is not None and instance.process.poll() is None:
                 instance.process.kill()
                 instance.process.wait()
-        for server in [*self.engines, self.store]:
+        for server in [*self.engines, *self.late_engines, self.store]:
             server.exit()
         if os.environ.get('KEEP_LOGS'):
             print('logs in', self.folder)
@@ -270,13 +279,13 @@
     }
 
 
-def run_case(case, folder):
+def run_case(case, folder, instances=3):
     """Run a case; write its record; exit with 0, 1 or 2."""
     trouble = os.environ.get('TROUBLE', '1') != '0'
     # A shell may have started this with SIGHUP ignored, as nohup does; the
     # platform starts programs with the default action.
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
-    deployment = Deployment()
+    deployment = Deployment(instances)
     status = 2
     try:
         status = asyncio.run(asyncio.wait_for(case(deployment, trouble), 110))
