--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,91 +1,99 @@
-"""A stream goes on at the engine with its copy, which has begun to leave."""
+"""The first instance of a zone is restarted while engines are replaced."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
 
-from deployment import DRAIN_S, ask_route, run_case
-from standins import send
+from deployment import (
+    DRAIN_S,
+    STABLE_S,
+    exit_at_work,
+    order_route,
+    record_requests,
+    run_case,
+)
+from traffic import Traffic
 
-STREAMS = 6
-# The engine that generates is silent for this long, once, as it has
-# preempted the streams. Clients wait 2 s for an event.
-SILENCE_S = 1.9
-SILENT_AFTER = 32
-EVENTS = 62
-GAP_S = 0.08
-# The leaving engine serves on for drain_ms and "a little longer (at times
-# many seconds)".
-LINGER_S = 3.0
+INSTANCES = 18
+# The engine serves on for drain_ms and "many seconds".
+LINGER_S = 6.0
+# From the start of the instance until the new engine registers, and from then
+# until the entry of the old one is removed.
+NEW_AFTER_S = 0.05
+OLD_AFTER_S = 0.15
 
 
 async def case(deployment, trouble):
-    prefill = deployment.add_engine('i-0a0b1c2d', 'menu-llm', 'kl-central',
-                                    'prefill')
-    decoders = [
-        deployment.add_engine(f'i-{number}a0b1c2d', 'menu-llm', zone, 'decode')
-        for number, zone in ((1, 'kl-central'), (2, 'petaling'))
+    engines = [
+        deployment.add_engine(f'i-{number}a0b1c2d', 'booking', zone)
+        for number, zone in enumerate(('kl-central', 'petaling', 'shah-alam'))
     ]
-
-    def pauses(request, first):
-        for number in range(first, EVENTS + 1):
-            yield SILENCE_S if number == SILENT_AFTER and first == 1 else GAP_S
-
-    for engine in decoders:
-        engine.pauses = pauses
-    deployment.write_config(7, [ask_route()])
+    leaving = engines[0]
+    added = deployment.make_engine('i-3a0b1c2d', 'booking', 'kl-central')
+    deployment.write_config(7, [order_route()])
     await deployment.start_and_wait()
-    await asyncio.sleep(4)
-    instance = deployment.instances[0]
-    tasks = [
-        asyncio.ensure_future(send(
-            instance.name, instance.ip, deployment.front, f'ask{number:06d}',
-            f'/ask/{number}',
-            [
-                ('X-Cranberryrelay-Deadline-Ms', 8000),
-                ('X-Cranberryrelay-Model', 'm'),
-                ('X-Cranberryrelay-Token-Count', '628,80'),
-                ('X-Cranberryrelay-Prompt-Prefix', f'{number:x}aa:628'),
-            ],
-        ))
-        for number in range(STREAMS)
+    first = deployment.instances[0]
+    traffic = Traffic(deployment)
+    background = [
+        asyncio.ensure_future(one)
+        for one in (traffic.watch_ready(), traffic.run())
     ]
-    await asyncio.sleep(0.5)
-    counts = {one.name: len(one.runs) for one in decoders}
-    deployment.say(f'streams by engine: {counts}')
-    # The one with fewer streams leaves.
-    leaving, staying = sorted(decoders, key=lambda one: len(one.runs))
-    left_at = None
+    await asyncio.sleep(5)
     if trouble:
-        deployment.register(leaving, 'draining')
-        left_at = time.monotonic()
-        deployment.say(f'{leaving.name} reports draining, acknowledged')
-        await asyncio.sleep(DRAIN_S + LINGER_S)
-        leaving.exit()
-        deployment.store.remove('servers', leaving.name)
-        deployment.say(f'{leaving.name} exits')
-    outcomes = await asyncio.gather(*tasks)
+        deployment.say(f'SIGTERM to {first.name}')
+        first.signal(signal.SIGTERM)
+        status = await first.wait(9)
+        deployment.say(f'{first.name} has ended with status {status}')
+        await asyncio.sleep(2)
+        first.start()
+        deployment.say(f'{first.name} starts')
+    else:
+        await asyncio.sleep(5)
+    await asyncio.sleep(NEW_AFTER_S)
+    await added.start()
+    deployment.register(added)
+    deployment.say(f'{added.name} registers')
+    await asyncio.sleep(OLD_AFTER_S)
+    deployment.store.remove('servers', leaving.name)
+    left_at = time.monotonic()
+    deployment.say(f'the entry of {leaving.name} is removed')
+    await asyncio.sleep(DRAIN_S + LINGER_S)
+    running = await exit_at_work(deployment, leaving)
+    await asyncio.sleep(3)
+    for task in background:
+        task.cancel()
+    outcomes = {
+        one.request_id: one for one in await asyncio.gather(*traffic.tasks)
+    }
+    record_requests(deployment, outcomes.values())
+    started = {one.name: one.started_at for one in deployment.instances}
     late = []
-    for engine in decoders:
-        for at, request_id, what in engine.runs:
+    for at, request_id, _ in leaving.runs:
+        machine = outcomes[request_id].machine
+        # In touch for the whole of stable_window_ms before.
+        if at > left_at + DRAIN_S and at - started[machine] > STABLE_S:
+            late.append(machine)
             deployment.lines.append(
-                f'{at - deployment.started_at:8.3f} s {request_id} reaches '
-                f'{engine.name}: {what}')
-            if trouble and engine is leaving and at > left_at + DRAIN_S:
-                late.append((round(at - left_at, 3), request_id))
-    for outcome in outcomes:
-        deployment.lines.append(outcome.line(deployment.started_at))
-    broken = [one.request_id for one in outcomes if not one.complete]
-    deployment.say(f'streams that reached the leaving engine over {DRAIN_S} s '
-                   f'after the acknowledgement: {late}')
-    deployment.say(f'streams that ended early: {broken}')
-    if not prefill.runs or all(one.status != 200 for one in outcomes):
+                f'{request_id} from {machine} reaches {leaving.name} '
+                f'{at - left_at:.3f} s after the removal')
+    lost = sorted(one for one in running if outcomes[one].status != 200)
+    by_engine = {one.name: len(one.runs) for one in [*engines, added]}
+    deployment.say(f'runs by engine: {by_engine}; orders sent: '
+                   f'{len(outcomes)}, answered 200: '
+                   f'{sum(one.status == 200 for one in outcomes.values())}')
+    deployment.say(f'orders that reached the engine over {DRAIN_S} s after the '
+                   f'removal of its entry: {len(late)}, from '
+                   f'{sorted(set(late))}')
+    deployment.say(f'orders that ran there as it exited and got no answer of '
+                   f'it: {lost}')
+    if not all(one.runs for one in engines):
         return 2
     return 1 if late else 0
 
 
 if __name__ == '__main__':
-    run_case(case, Path(__file__).resolve().parent)
+    run_case(case, Path(__file__).resolve().parent, INSTANCES)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / 'common'))
 
-from deployment import DRAIN_S, STABLE_S, order_route, run_case
+from deployment import (
+    DRAIN_S,
+    STABLE_S,
+    exit_at_work,
+    order_route,
+    record_requests,
+    run_case,
+)
 from traffic import Traffic
 
 # The engine serves on for drain_ms and "many seconds".
@@ -67,10 +74,8 @@
         await asyncio.sleep(4)
         leave('while nothing else happens')
     await asyncio.sleep(DRAIN_S + LINGER_S)
-    running = {one for _, one, _ in leaving.runs} - set(leaving.ended)
-    leaving.exit()
+    running = await exit_at_work(deployment, leaving)
     deployment.store.remove('servers', leaving.name)
-    deployment.say(f'{leaving.name} exits, {len(running)} orders run there')
     await asyncio.sleep(3)
     for task in background:
         task.cancel()
@@ -83,9 +88,7 @@
 def judge(deployment, leaving, left_at, outcomes, running):
     """DRAIN: nothing later than drain_ms, from machines in touch."""
     started = {one.name: one.started_at for one in deployment.instances}
-    for outcome in outcomes.values():
-        if outcome.status != 200:
-            deployment.lines.append(outcome.line(deployment.started_at))
+    record_requests(deployment, outcomes.values())
     late = []
     for at, request_id, _ in leaving.runs:
         machine = outcomes[request_id].machine
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -259,6 +259,35 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def record_requests(deployment, outcomes):
+    """Write what was sent and answered, and where it ran."""
+    engines = [*deployment.engines, *deployment.late_engines]
+    ran = {
+        request_id: f'{engine.name} at {at - deployment.started_at:.3f} s'
+        for engine in engines for at, request_id, _ in engine.runs
+    }
+    for outcome in outcomes:
+        where = ran.get(outcome.request_id, 'nowhere')
+        line = outcome.line(deployment.started_at)
+        deployment.lines.append(f'{line}, run by {where}')
+
+
+async def exit_at_work(deployment, engine, limit_s=2.0):
+    """Let an engine exit while it works, or after a while if it doesn't.
+
+    Returns the ids of the requests that run there at that moment.
+    """
+    until = time.monotonic() + limit_s
+    while True:
+        running = {one for _, one, _ in engine.runs} - set(engine.ended)
+        if running or time.monotonic() > until:
+            break
+        await asyncio.sleep(0.005)
+    engine.exit()
+    deployment.say(f'{engine.name} exits, {len(running)} requests run there')
+    return running
+
+
 def order_route():
     """The route of orders that may run once."""
     return {
