Name all upstreams in a repair where removals may be unknown

Cause: a repair claims that its removals are complete after the receiver's position. An instance that jumped to a later state (first listing, listing after lost history, repaired by another) does not know which upstreams came or went in between, so the receiver passed the removal and never heard of it.

Why it works: RemovalHistory knows after which position no removal is missing.

Tests changed: make_upstream_share is make_upstream_repair; a listing's diff and the discarded removals are now told by all names, which the two rows check (names without the removed one; the kind on both sides of the limit, and the number of removals).

--- a/cranberryrelay/relay/_anti_entropy.py
+++ b/cranberryrelay/relay/_anti_entropy.py
@@ -58,4 +58,4 @@
             self.send(sender, note)
         if upstreams_lag:
             after = heartbeat.upstream_position
-            self.send(sender, self.store_replica.make_upstream_share(after))
+            self.send(sender, self.store_replica.make_upstream_repair(after))
--- a/cranberryrelay/relay/_peer_messages.py
+++ b/cranberryrelay/relay/_peer_messages.py
@@ -114,6 +114,27 @@
     position: StorePosition
 
 
+class UpstreamSnapshot(NamedTuple):
+    """Changes of upstreams that the receiver lacks, and which ones exist.
+
+    Sent instead of an ``UpstreamShare`` by an instance that may not know all
+    removals since the receiver's position. A build that does not know it stays
+    behind, and then watches the store.
+    """
+
+    # Changed records as (name, position, value).
+    changed: list[tuple[str, StorePosition, Any]]
+
+    # Names of all upstreams; others were removed by ``position``.
+    names: list[str]
+
+    # State of the store after which the changed records are complete.
+    after: StorePosition
+
+    # State of the store up to which the changes are complete.
+    position: StorePosition
+
+
 class EngineChanging(NamedTuple):
     """Announces that an engine changes its role and takes no requests."""
 
@@ -149,4 +170,5 @@
     StreamAnswer,
     LeavingStreams,
     LostMembers,
+    UpstreamSnapshot,
 )
--- a/cranberryrelay/relay/_peer_protocol.py
+++ b/cranberryrelay/relay/_peer_protocol.py
@@ -33,6 +33,7 @@
     LoadBeat,
     NoteShare,
     UpstreamShare,
+    UpstreamSnapshot,
 )
 from cranberryrelay.relay._peer_update import PeerUpdate, make_peer_update
 from cranberryrelay.relay._rate_limits import LimitNews
@@ -548,6 +549,11 @@
     protocol.store_replica.apply_upstream_share(message)
 
 
+@dispatch_message.register
+def _(message: UpstreamSnapshot, protocol: PeerProtocol, sender: str) -> None:
+    protocol.store_replica.apply_upstream_snapshot(message)
+
+
 @dispatch_message.register
 def _(message: EngineChanging, protocol: PeerProtocol, sender: str) -> None:
     protocol.handle_engine_changing(sender, message)
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Final, NamedTuple
 
@@ -14,7 +13,11 @@
 
 from cranberryrelay.codes import Failure
 from cranberryrelay.relay._catalogue import RoutingTable, Upstream
-from cranberryrelay.relay._peer_messages import NoteShare, UpstreamShare
+from cranberryrelay.relay._peer_messages import (
+    NoteShare,
+    UpstreamShare,
+    UpstreamSnapshot,
+)
 from cranberryrelay.relay._records import (
     STORE_ORIGIN,
     KindListing,
@@ -22,10 +25,9 @@
     RecordChange,
     StorePosition,
 )
+from cranberryrelay.relay._removal_history import Removal, RemovalHistory
 from cranberryrelay.relay._state import RelayState
 
-# Most removals that are kept for repairs of peers.
-REMOVALS_LIMIT: Final = 512
 FROM_STORE: Final = 'store'
 FROM_PEER: Final = 'peer'
 _LOG: Final = logging.getLogger('cranberryrelay.relay')
@@ -44,16 +46,6 @@
     note_name: str
 
 
-class Removal(NamedTuple):
-    """Removal of an upstream's record."""
-
-    # Name of the upstream.
-    name: str
-
-    # State of the store by which the record was removed.
-    position: StorePosition
-
-
 class Departed(NamedTuple):
     """An upstream whose record was removed."""
 
@@ -84,9 +76,8 @@
         self.decoders = decoders
         self.note_value: Any = None
         self.upstream_records: dict[str, KindRecord] = {}
-        self.removals: deque[Removal] = deque(maxlen=REMOVALS_LIMIT)
+        self.removals = RemovalHistory()
         self.departed: dict[str, Departed] = {}
-        self.removal_positions: dict[str, StorePosition] = {}
         self.upstream_position = STORE_ORIGIN
         self.invalid_names: set[str] = set()
 
@@ -120,10 +111,9 @@
         listed = {record.name for record in listing.records}
         for record in listing.records:
             self.apply_upstream_record(record, FROM_STORE)
-        for name in self.upstream_records.keys() - listed:
-            self.remove_upstream(name, listing.position, FROM_STORE)
+        self.remove_missing(listed, listing.position, FROM_STORE)
         self.state.upstreams_listed = True
-        self.advance_position(listing.position)
+        self.skip_to_position(listing.position)
 
     def apply_upstream_changes(self, change: RecordChange) -> None:
         """Apply changes of upstreams from the store."""
@@ -138,7 +128,7 @@
         known = self.upstream_records.get(record.name)
         known_position = max(
             known.position if known else STORE_ORIGIN,
-            self.removal_positions.get(record.name, STORE_ORIGIN),
+            self.removals.find_position(record.name),
         )
         if known_position >= record.position:
             self.log_older_record(record, known_position, source)
@@ -211,7 +201,9 @@
             self.log_older_record(removed, known.position, source)
             return
         self.upstream_records.pop(name, None)
-        self.record_removal(Removal(name, position))
+        discarded = self.removals.record(Removal(name, position))
+        if discarded is not None:
+            self.departed.pop(discarded.name, None)
         self.invalid_names.discard(name)
         withdrawn = self.withdrawn.pop(name, None)
         upstream = self.state.fleet.upstreams.get(name) or withdrawn
@@ -219,20 +211,27 @@
             self.departed[name] = Departed(upstream, position)
         self.state.remove_upstream(name, source)
 
-    def record_removal(self, removal: Removal) -> None:
-        """Record a removal; discard the oldest one at the limit."""
-        if len(self.removals) == REMOVALS_LIMIT:
-            oldest = self.removals.popleft()
-            if self.removal_positions.get(oldest.name) == oldest.position:
-                self.removal_positions.pop(oldest.name)
-                self.departed.pop(oldest.name, None)
-        self.removal_positions[removal.name] = removal.position
-        self.removals.append(removal)
+    def remove_missing(
+        self, found: set[str], position: StorePosition, source: str
+    ) -> None:
+        """Remove the upstreams that a list of all upstreams lacks."""
+        for name in self.upstream_records.keys() - found:
+            self.remove_upstream(name, position, source)
 
     def advance_position(self, position: StorePosition) -> None:
         """Advance the position up to which the upstreams are known."""
         self.upstream_position = max(self.upstream_position, position)
 
+    def skip_to_position(self, position: StorePosition) -> None:
+        """Advance the position past changes that are known by their result.
+
+        Upstreams that came and went meanwhile were never known here, but a
+        peer may know them.
+        """
+        if position > self.upstream_position:
+            self.removals.restart(position)
+            self.upstream_position = position
+
     def known_era(self) -> int:
         """Return the latest era of the store that this instance knows."""
         return self.upstream_position.era
@@ -279,27 +278,30 @@
             return None
         return NoteShare(self.note_value)
 
-    def make_upstream_share(self, after: StorePosition) -> UpstreamShare:
+    def make_upstream_repair(
+        self, after: StorePosition
+    ) -> UpstreamShare | UpstreamSnapshot:
         """Return the upstreams that changed after a position for a peer.
 
-        After a position in an earlier era these are all upstreams.
+        After a position in an earlier era these are all upstreams. Where
+        removals since the position may be unknown here, all names tell which
+        upstreams are gone.
         """
         changed = [
             (record.name, record.position, record.value)
             for record in self.upstream_records.values()
             if record.position > after
         ]
+        position = self.upstream_position
+        if after.era == position.era and after < self.removals.complete_after:
+            names = list(self.upstream_records)
+            return UpstreamSnapshot(changed, names, after, position)
         removed = [
-            removal.name
-            for removal in self.removals
-            if removal.position > after
-            and removal.name not in self.upstream_records
+            name
+            for name in self.removals.names_after(after)
+            if name not in self.upstream_records
         ]
-        same_era = after.era == self.upstream_position.era
-        if same_era and len(self.removals) == REMOVALS_LIMIT:
-            # Removals older than the first one kept may be missing.
-            after = max(after, self.removals[0].position)
-        return UpstreamShare(changed, removed, after, self.upstream_position)
+        return UpstreamShare(changed, removed, after, position)
 
     def apply_note_share(self, share: NoteShare) -> None:
         """Apply a release note from a peer."""
@@ -313,20 +315,42 @@
         Changes since an earlier era are all upstreams of the later one: the
         others are gone.
         """
-        for name, position, value in share.changed:
-            self.apply_upstream_record(
-                KindRecord(name, position, value), FROM_PEER
-            )
+        self.apply_shared_records(share.changed)
         for name in share.removed:
             self.remove_upstream(name, share.position, FROM_PEER)
         if share.after.era < share.position.era:
             shared = {name for name, _, _ in share.changed}
-            for name in self.upstream_records.keys() - shared:
-                self.remove_upstream(name, share.position, FROM_PEER)
+            self.remove_missing(shared, share.position, FROM_PEER)
+            self.finish_repair(share, self.skip_to_position)
+        else:
+            self.finish_repair(share, self.advance_position)
+
+    def apply_upstream_snapshot(self, snapshot: UpstreamSnapshot) -> None:
+        """Apply changes of upstreams from a peer that names all upstreams."""
+        self.apply_shared_records(snapshot.changed)
+        found = set(snapshot.names)
+        self.remove_missing(found, snapshot.position, FROM_PEER)
+        self.finish_repair(snapshot, self.skip_to_position)
+
+    def apply_shared_records(
+        self, changed: list[tuple[str, StorePosition, Any]]
+    ) -> None:
+        """Apply records of upstreams from a peer."""
+        for name, position, value in changed:
+            self.apply_upstream_record(
+                KindRecord(name, position, value), FROM_PEER
+            )
+
+    def finish_repair(
+        self,
+        repair: UpstreamShare | UpstreamSnapshot,
+        advance: Callable[[StorePosition], None],
+    ) -> None:
+        """Advance the position, unless the repair leaves a gap after it."""
         if (
             self.state.upstreams_listed
-            and share.after <= self.upstream_position
+            and repair.after <= self.upstream_position
         ):
-            self.advance_position(share.position)
-        if share.changed:
+            advance(repair.position)
+        if repair.changed:
             self.state.upstreams_listed = True
--- a/cranberryrelay/relay/tests/landed_forms.py
+++ b/cranberryrelay/relay/tests/landed_forms.py
@@ -88,6 +88,12 @@
         ),
         'LostMembers': (2,),
         'LeavingStreams': ([AnnouncedStreams('s', 'v2', [17])],),
+        'UpstreamSnapshot': (
+            [('i-1', POSITION, ENTRY)],
+            ['i-1'],
+            StorePosition(2, 300),
+            POSITION,
+        ),
     }
 )
 
--- a/cranberryrelay/relay/tests/test_odd_peer_messages.py
+++ b/cranberryrelay/relay/tests/test_odd_peer_messages.py
@@ -233,5 +233,5 @@
         )
         replica = protocol.store_replica
         self.assertEqual(replica.state.fleet.upstreams, {})
-        CODEC.encode(replica.make_upstream_share(at(0)))
+        CODEC.encode(replica.make_upstream_repair(at(0)))
         self.assertIsNone(replica.make_note_share())
--- a/cranberryrelay/relay/tests/test_odd_records.py
+++ b/cranberryrelay/relay/tests/test_odd_records.py
@@ -27,6 +27,7 @@
     PEER_MESSAGE_TYPES,
     NoteShare,
     UpstreamShare,
+    UpstreamSnapshot,
 )
 from cranberryrelay.relay._state import RelayState
 from cranberryrelay.relay._store_replica import StoreReplica
@@ -102,10 +103,12 @@
 def share_with_peer(replica: StoreReplica) -> StoreReplica:
     """Send all that a replica knows to a new one, as on the wire."""
     received = make_replica()
-    share = replica.make_upstream_share(at(0))
-    frames = CODEC.encode(share)
-    decoded = CODEC.decode(frames).unwrap().message
-    received.apply_upstream_share(decoded)
+    repair = replica.make_upstream_repair(at(0))
+    decoded = CODEC.decode(CODEC.encode(repair)).unwrap().message
+    if isinstance(decoded, UpstreamSnapshot):
+        received.apply_upstream_snapshot(decoded)
+    else:
+        received.apply_upstream_share(decoded)
     return received
 
 
--- a/cranberryrelay/relay/tests/test_restored_store.py
+++ b/cranberryrelay/relay/tests/test_restored_store.py
@@ -20,7 +20,7 @@
 from cranberryrelay.relay._account_writer import AccountWriter
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._note_archive import NoteArchive
-from cranberryrelay.relay._peer_messages import NoteShare
+from cranberryrelay.relay._peer_messages import NoteShare, UpstreamShare
 from cranberryrelay.relay._peer_protocol import PeerProtocol
 from cranberryrelay.relay._registration import INSTANCE_KIND, keep_registered
 from cranberryrelay.relay._store_replica import StoreReplica
@@ -207,14 +207,14 @@
     scene.store.restore(copied)
     put_engine(scene.store, 'i-1', 'draining', 2)
     await trio.sleep(SETTLE_SECONDS)
-    scene.replica.apply_upstream_share(
-        peer.make_upstream_share(scene.replica.upstream_position)
-    )
+    share = peer.make_upstream_repair(scene.replica.upstream_position)
+    assert isinstance(share, UpstreamShare)
+    scene.replica.apply_upstream_share(share)
     assert read_fleet(scene.replica) == {'i-1': True}
     assert scene.replica.upstream_position > peer.upstream_position
-    peer.apply_upstream_share(
-        scene.replica.make_upstream_share(peer.upstream_position)
-    )
+    share = scene.replica.make_upstream_repair(peer.upstream_position)
+    assert isinstance(share, UpstreamShare)
+    peer.apply_upstream_share(share)
     assert read_fleet(peer) == {'i-1': True}
     assert scene.replica.upstream_position == peer.upstream_position
 
--- a/cranberryrelay/relay/tests/test_store_replica.py
+++ b/cranberryrelay/relay/tests/test_store_replica.py
@@ -29,11 +29,16 @@
 from cranberryrelay.relay._duties import Duties
 from cranberryrelay.relay._membership import InstanceLocation
 from cranberryrelay.relay._note_archive import NoteArchive
-from cranberryrelay.relay._peer_messages import NoteShare, UpstreamShare
+from cranberryrelay.relay._peer_messages import (
+    NoteShare,
+    UpstreamShare,
+    UpstreamSnapshot,
+)
 from cranberryrelay.relay._peer_protocol import PeerProtocol
+from cranberryrelay.relay._removal_history import REMOVALS_LIMIT
 from cranberryrelay.relay._retry_budget import RetryBudget
 from cranberryrelay.relay._state import RelayState
-from cranberryrelay.relay._store_replica import REMOVALS_LIMIT, StoreReplica
+from cranberryrelay.relay._store_replica import StoreReplica
 from cranberryrelay.relay._watchers import KindWatcher, WatchCallbacks
 from cranberryrelay.relay.tests.fixtures import at, make_settings
 from cranberryrelay.timing import TimerService, open_timer_service
@@ -111,8 +116,9 @@
         replica.apply_upstream_listing(KindListing(both, at(11)))
         replica.apply_upstream_listing(KindListing(both[:1], at(20)))
         self.assertEqual(list(replica.state.fleet.upstreams), ['i-1'])
-        share = replica.make_upstream_share(at(15))
-        self.assertEqual(share.removed, ['i-2'])
+        repair = replica.make_upstream_repair(at(15))
+        assert isinstance(repair, UpstreamSnapshot)
+        self.assertEqual(repair.names, ['i-1'])
 
     def test_recreated_upstream_survives_share(self) -> None:
         sender = make_replica()
@@ -127,7 +133,9 @@
         receiver.apply_upstream_listing(
             KindListing((make_upstream_record('i-1', 10),), at(10))
         )
-        receiver.apply_upstream_share(sender.make_upstream_share(at(10)))
+        share = sender.make_upstream_repair(at(10))
+        assert isinstance(share, UpstreamShare)
+        receiver.apply_upstream_share(share)
         self.assertEqual(list(receiver.state.fleet.upstreams), ['i-1'])
         self.assertEqual(receiver.upstream_position, at(30))
 
@@ -135,9 +143,14 @@
         replica = make_replica()
         for idx in range(REMOVALS_LIMIT + 5):
             replica.remove_upstream(f'i-{idx}', at(idx + 1), 'test')
-        self.assertEqual(len(replica.removal_positions), REMOVALS_LIMIT)
+        self.assertEqual(len(replica.removals.positions), REMOVALS_LIMIT)
         replica.advance_position(at(REMOVALS_LIMIT + 5))
-        self.assertEqual(replica.make_upstream_share(at(0)).after, at(6))
+        self.assertIsInstance(
+            replica.make_upstream_repair(at(4)), UpstreamSnapshot
+        )
+        share = replica.make_upstream_repair(at(5))
+        assert isinstance(share, UpstreamShare)
+        self.assertEqual(len(share.removed), REMOVALS_LIMIT)
 
     def test_invalid_record_removes_upstream(self) -> None:
         replica = make_replica()
