Give a listing of several pages the position of its first page

Cause: list_kind returned the position of the last page for records of all pages. The watch began behind the change, and the heartbeat named that position, so that peers saw nothing to repair.

Why it works: the watch starts at the first page, so it brings all that changed since. What a later page has already is passed over by the record's own revision. A listing during which the store changed is logged with both positions.

The stand-in of the store answers listings in pages now.

--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -73,10 +73,13 @@
     async def list_kind(self, kind: str) -> Result[KindListing, Failure]:
         """List all records of a kind; reads all pages.
 
+        The position is that of the first page: what changes while the others
+        are read may be missing on a page that was read before.
+
         Errors: ``STORE_HISTORY_GONE`` if the store is restored between pages.
         """
         records: list[KindRecord] = []
-        era: int | None = None
+        position: StorePosition | None = None
         after = ''
         while True:
             query = {'after': after} if after else {}
@@ -85,12 +88,13 @@
             if isinstance(page, Err):
                 return page
             listed = page.unwrap()
-            if era not in {None, listed.position.era}:
+            position = position or listed.position
+            if listed.position.era != position.era:
                 return Err(_history_gone(kind, listed.position.era))
-            era = listed.position.era
             records.extend(listed.records)
             if not listed.truncated:
-                return Ok(KindListing(tuple(records), listed.position))
+                _log_changes(kind, position, listed.position)
+                return Ok(KindListing(tuple(records), position))
             last = listed.records[-1].name if listed.records else after
             if last == after:
                 detail = f'no record follows {after!r} on a truncated page'
@@ -238,6 +242,13 @@
     return fail(ResultCode.STORE_HISTORY_GONE, detail)
 
 
+def _log_changes(kind: str, first: StorePosition, last: StorePosition) -> None:
+    """Log that the store changed between the pages of a listing."""
+    if last != first:
+        extra = {'kind': kind, 'first_page': first, 'last_page': last}
+        _LOG.info('store changed during a listing', extra=extra)
+
+
 @asynccontextmanager
 async def open_target_store(url: str) -> AsyncIterator[TargetStore]:
     """Open an HTTP client of the store at ``url``."""
--- a/cranberryrelay/relay/_records.py
+++ b/cranberryrelay/relay/_records.py
@@ -53,12 +53,13 @@
 
 
 class KindListing(NamedTuple):
-    """A snapshot of all records of a kind."""
+    """All records of a kind, read in one or more pages."""
 
     # The records of the kind.
     records: tuple[KindRecord, ...]
 
-    # State of the store at which the snapshot was taken.
+    # State of the store up to which the listing is complete. It may contain
+    # later changes too.
     position: StorePosition
 
 
--- a/cranberryrelay/standins/_target_store.py
+++ b/cranberryrelay/standins/_target_store.py
@@ -1,5 +1,6 @@
 """Stand-in for the target platform's store: records by kind and name."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple
 
@@ -10,6 +11,9 @@
 
 KINDS_PATH: Final = '/v1/objects/<kind>'
 RECORD_PATH: Final = '/v1/objects/<kind>/<name>'
+
+# Most records on a page of a listing.
+PAGE_RECORDS: Final = 500
 _MILLISECONDS_PER_SECOND: Final = 1000
 
 
@@ -62,6 +66,10 @@
         self.era = 1
         self.faults = TargetStoreFaults()
         self.changed = trio.Event()
+        self.page_records = PAGE_RECORDS
+
+        # Called with the kind after each page of a listing has been made.
+        self.on_page: Callable[[str], None] = _do_nothing
 
     def put(self, kind: str, name: str, value: Any) -> dict[str, Any]:
         """Write a record unconditionally."""
@@ -132,13 +140,24 @@
                 int(request.args['wait_ms']) / _MILLISECONDS_PER_SECOND
             )
             return await self.watch(kind, after_revision, wait_seconds)
-        items = [
+        return self.list_page(kind, request.args.get('after', ''))
+
+    def list_page(self, kind: str, after: str) -> Response:
+        """List the records of a kind whose names follow a name."""
+        limit = self.store.page_records
+        found = [
             record
             for key, record in sorted(self.store.records.items())
-            if key[0] == kind
+            if key[0] == kind and key[1] > after
         ]
-        revision = self.store.revision
-        return _reply_json({'items': items, 'store_revision': revision})
+        page = {
+            'items': found[:limit],
+            'truncated': len(found) > limit,
+            'store_revision': self.store.revision,
+        }
+        reply = _reply_json(page)
+        self.store.on_page(kind)
+        return reply
 
     async def watch(
         self, kind: str, after_revision: int, wait_seconds: float
@@ -219,6 +238,10 @@
         return _reply_json(record)
 
 
+def _do_nothing(_: str) -> None:
+    """Do nothing after a page."""
+
+
 async def _read_json() -> Any:
     body: Any = await request.get_data(as_text=False)
     return msgspec.json.decode(body)
