Limit informational answers, and the work between turns of other tasks

What operators of similar systems saw: bytes without end from a faulty engine took an instance down. Here, such bytes in a sound frame kept it at work: a call with 103 answers alone was held until its time limit, and others waited meanwhile.

Cause: read_head took any number of informational answers, and a body was taken apart whole as far as it had arrived, without a turn for other tasks.

Why it works: after 32 informational answers the call fails as one that is no answer, and other tasks run after 256 parts. What is read is the same.

--- a/cranberryrelay/wire/_kept_connections.py
+++ b/cranberryrelay/wire/_kept_connections.py
@@ -32,6 +32,12 @@
 # Largest head of an answer, in bytes.
 HEAD_BYTES_LIMIT: Final = 102_400
 
+# Most informational answers (1xx) before an answer.
+INFORMATIONAL_LIMIT: Final = 32
+
+# Most parts of a body that are taken apart before other tasks run.
+PARTS_LIMIT: Final = 256
+
 # Port of a URL that names none.
 HTTP_PORT: Final = 80
 
@@ -103,7 +109,7 @@
 
     async def read_head(self, request: httpx.Request) -> h11.Response:
         """Read the head of the answer."""
-        while True:
+        for _ in range(INFORMATIONAL_LIMIT + 1):
             event = await self.read_event(request)
             if isinstance(event, h11.Response):
                 self.announced_seconds = find_idle_seconds(event.headers)
@@ -112,6 +118,9 @@
                 raise httpx.RemoteProtocolError(
                     'the connection ended before an answer'
                 )
+        raise httpx.RemoteProtocolError(
+            f'more than {INFORMATIONAL_LIMIT} informational answers'
+        )
 
     async def read_event(self, request: httpx.Request) -> Any:
         """Return the next event of the answer."""
@@ -172,16 +181,18 @@
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield what arrives at a time; raises ``httpx.HTTPError``."""
-        is_complete = False
-        while not is_complete:
-            event = await self.connection.read_event(self.request)
-            parts: list[bytes] = []
-            while isinstance(event, h11.Data):
+        event = await self.connection.read_event(self.request)
+        while isinstance(event, h11.Data):
+            parts = [bytes(event.data)]
+            event = self.connection.next_present_event()
+            while isinstance(event, h11.Data) and len(parts) < PARTS_LIMIT:
                 parts.append(bytes(event.data))
                 event = self.connection.next_present_event()
-            is_complete = event is not None
-            if parts:
-                yield b''.join(parts)
+            if isinstance(event, h11.Data):
+                await trio.lowlevel.checkpoint()
+            yield b''.join(parts)
+            if event is None:
+                event = await self.connection.read_event(self.request)
 
     async def aclose(self) -> None:
         """Give the connection back, or close it if the answer is not read."""
