Share one budget of memory among the answers that are read whole

What operators of similar systems saw: an instance ran out of memory with the bytes of faulty engines and ended with all its requests.

Cause: each answer of a plain service was limited to 4 MB, all together were not. Answers that stall below the limit are held until the time limit of their calls.

The limit for one answer is as before.

--- a/cranberryrelay/relay/_attempts.py
+++ b/cranberryrelay/relay/_attempts.py
@@ -17,7 +17,11 @@
 from cranberryrelay.relay._hashing import hash_to_unit_interval
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import ResponseMetadata, UpstreamCall
-from cranberryrelay.relay._upstream_call import UpstreamResponse, open_response
+from cranberryrelay.relay._upstream_call import (
+    UpstreamResponse,
+    open_response,
+    read_body,
+)
 
 Chosen = TypeVar('Chosen')
 
@@ -73,6 +77,14 @@
         progress.end_send(outcome.err(), may_have_run_before=before)
         return outcome
 
+    async def read_body(
+        self, response: UpstreamResponse
+    ) -> Result[bytes, Failure]:
+        """Read the whole body of a response, in the time that is left."""
+        budget = self.context.state.answer_budget
+        buffer = self.admitted.stack.enter_context(budget.open_buffer())
+        return await read_body(response, self.remaining_seconds(), buffer)
+
     def is_sent(self) -> bool:
         """Return whether the request has been sent to an upstream."""
         return self.sent_at > float('-inf')
--- a/cranberryrelay/relay/_forwarding.py
+++ b/cranberryrelay/relay/_forwarding.py
@@ -135,7 +135,9 @@
             events = self.pass_events(admitted, response)
             return Ok(StreamReply(response.status, headers, events))
         remaining = admitted.remaining_seconds(self.context.timers.now())
-        body = await read_body(response, remaining)
+        budget = self.context.state.answer_budget
+        buffer = admitted.stack.enter_context(budget.open_buffer())
+        body = await read_body(response, remaining, buffer)
         return body.map(
             lambda content: BufferedReply(response.status, headers, content)
         )
--- a/cranberryrelay/relay/_model_path.py
+++ b/cranberryrelay/relay/_model_path.py
@@ -38,7 +38,6 @@
 from cranberryrelay.relay._upstream_call import (
     UNSENT_CODES,
     UpstreamResponse,
-    read_body,
 )
 from cranberryrelay.timing import limit_time
 
@@ -131,7 +130,7 @@
         if response.status == HTTPStatus.OK:
             events = self.pass_events(response)
             return Ok(StreamReply(response.status, headers, events))
-        body = await read_body(response, self.remaining_seconds())
+        body = await self.read_body(response)
         return body.map(
             lambda content: BufferedReply(response.status, headers, content)
         )
--- a/cranberryrelay/relay/_plain_path.py
+++ b/cranberryrelay/relay/_plain_path.py
@@ -18,7 +18,7 @@
 from cranberryrelay.relay._placement import choose_plain_upstream
 from cranberryrelay.relay._request_digest import digest_request
 from cranberryrelay.relay._requests import UpstreamCall
-from cranberryrelay.relay._upstream_call import UNSENT_CODES, read_body
+from cranberryrelay.relay._upstream_call import UNSENT_CODES
 
 _SERVER_ERROR: Final = 500
 
@@ -116,7 +116,7 @@
         if isinstance(opened, Err):
             return opened
         response = opened.unwrap()
-        body = await read_body(response, self.remaining_seconds())
+        body = await self.read_body(response)
         return body.map(
             lambda content: BufferedReply(
                 response.status, response.metadata.headers, content
--- a/cranberryrelay/relay/_prefill.py
+++ b/cranberryrelay/relay/_prefill.py
@@ -30,7 +30,7 @@
 from cranberryrelay.relay._prefix_index import CachedSegment
 from cranberryrelay.relay._request_log import RequestLog
 from cranberryrelay.relay._requests import KvSource, ModelRequest, UpstreamCall
-from cranberryrelay.relay._upstream_call import UNSENT_CODES, read_body
+from cranberryrelay.relay._upstream_call import UNSENT_CODES
 
 # Scheduling priorities that are sent to engines, 0 (first) to 9, by rank.
 ENGINE_PRIORITIES: Final = MappingProxyType(
@@ -229,7 +229,7 @@
         if response.status != HTTPStatus.OK:
             detail = f'{engine.name}: prefill call returned {response.status}'
             return Err(fail(ResultCode.UPSTREAM_FAILED, detail))
-        return await read_body(response, self.remaining_seconds())
+        return await self.read_body(response)
 
     def record_segments(self, engine: Upstream) -> None:
         """Record the segments that an engine will cache, also for peers."""
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -13,6 +13,7 @@
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.relay._account_buffer import AccountBuffer
 from cranberryrelay.relay._admission_queue import AdmissionQueue
+from cranberryrelay.relay._answer_budget import AnswerBudget
 from cranberryrelay.relay._backlog import Backlog
 from cranberryrelay.relay._catalogue import (
     EngineTraits,
@@ -91,6 +92,7 @@
         self.peer_update = make_peer_update()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.account_buffer = AccountBuffer()
+        self.answer_budget = AnswerBudget()
         self.telemetry = RelayTelemetry()
         self.admission_queue = AdmissionQueue()
         self.crash_suspects = CrashSuspects()
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -8,6 +8,11 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
+from cranberryrelay.relay._answer_budget import (
+    ANSWER_BYTES_LIMIT,
+    SHARED_BYTES_LIMIT,
+    AnswerBuffer,
+)
 from cranberryrelay.relay._requests import (
     Dialect,
     MetadataObserver,
@@ -28,9 +33,6 @@
 # it announces a shorter one.
 IDLE_CONNECTION_SECONDS: Final = 4.0
 
-# Largest body of a response that is read whole, in bytes.
-BODY_BYTES_LIMIT: Final = 4_000_000
-
 # Failures before any part of the request was sent.
 UNSENT_CODES: Final = frozenset(
     (ResultCode.UPSTREAM_UNREACHABLE, ResultCode.UPSTREAM_CLOSED)
@@ -225,26 +227,30 @@
 
 
 async def read_body(
-    response: UpstreamResponse, limit_seconds: float
+    response: UpstreamResponse, limit_seconds: float, buffer: AnswerBuffer
 ) -> Result[bytes, Failure]:
     """Read the whole body; closes the connection if it is too large.
 
-    Errors: ``STREAM_BROKEN``, ``UPSTREAM_TIMEOUT``, ``ANSWER_TOO_LARGE``.
+    The body counts until the buffer is closed. Errors: ``STREAM_BROKEN``,
+    ``UPSTREAM_TIMEOUT``, ``ANSWER_TOO_LARGE``.
     """
+    body = await _read_into(buffer, response, limit_seconds)
+    if isinstance(body, Err):
+        buffer.clear()
+    return body
+
+
+async def _read_into(
+    buffer: AnswerBuffer, response: UpstreamResponse, limit_seconds: float
+) -> Result[bytes, Failure]:
     with limit_time(limit_seconds):
-        body = bytearray()
         try:
             async for chunk in response.chunks():
-                body += chunk
-                if len(body) > BODY_BYTES_LIMIT:
-                    break
+                if not buffer.add(chunk):
+                    return await _fail_too_large(response, buffer)
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.STREAM_BROKEN, repr(error)))
-        if len(body) <= BODY_BYTES_LIMIT:
-            return Ok(bytes(body))
-        await response.close()
-        detail = f'the body exceeds {BODY_BYTES_LIMIT} bytes'
-        return Err(fail(ResultCode.ANSWER_TOO_LARGE, detail))
+        return Ok(buffer.take())
     return Err(
         fail(
             ResultCode.UPSTREAM_TIMEOUT,
@@ -253,6 +259,19 @@
     )
 
 
+async def _fail_too_large(
+    response: UpstreamResponse, buffer: AnswerBuffer
+) -> Err[Failure]:
+    """Close the connection of an answer that is too large."""
+    await response.close()
+    detail = (
+        f'the body exceeds {ANSWER_BYTES_LIMIT} bytes, or the bodies of all '
+        f'answers {SHARED_BYTES_LIMIT}: {buffer.length} bytes were read, '
+        f'{buffer.budget.shared_bytes} are taken'
+    )
+    return Err(fail(ResultCode.ANSWER_TOO_LARGE, detail))
+
+
 async def _close(http_response: httpx.Response) -> None:
     with limit_time(CLOSE_TIMEOUT_SECONDS) as scope:
         scope.shield = True
--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -25,6 +25,7 @@
     Upstream,
     UpstreamCall,
 )
+from cranberryrelay.relay._answer_budget import AnswerBudget
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BufferedReply,
@@ -206,7 +207,8 @@
         )
         if isinstance(opened, Err):
             return opened.unwrap_err()
-        body = await read_body(opened.unwrap(), CALL_SECONDS)
+        buffer = stack.enter_context(AnswerBudget().open_buffer())
+        body = await read_body(opened.unwrap(), CALL_SECONDS, buffer)
         return body.err()
 
 
--- a/cranberryrelay/relay/tests/test_unframed_answers.py
+++ b/cranberryrelay/relay/tests/test_unframed_answers.py
@@ -17,9 +17,12 @@
 from cranberryrelay.codes import ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import UpstreamCall
+from cranberryrelay.relay._answer_budget import (
+    ANSWER_BYTES_LIMIT,
+    AnswerBudget,
+)
 from cranberryrelay.relay._events import EVENT_BYTES_LIMIT, EventSplitter
 from cranberryrelay.relay._upstream_call import (
-    BODY_BYTES_LIMIT,
     make_upstream_client,
     open_response,
     read_body,
@@ -31,7 +34,7 @@
 CALL_SECONDS = 5.0
 
 # Bytes that an endless upstream may get rid of, socket buffers included.
-SENT_LIMIT = 3 * BODY_BYTES_LIMIT
+SENT_LIMIT = 3 * ANSWER_BYTES_LIMIT
 
 
 def answer_without_length() -> Iterator[bytes]:
@@ -132,7 +135,8 @@
         if isinstance(opened, Err):
             nursery.cancel_scope.cancel()
             return opened.unwrap_err().code
-        body = await read_body(opened.unwrap(), CALL_SECONDS)
+        buffer = stack.enter_context(AnswerBudget().open_buffer())
+        body = await read_body(opened.unwrap(), CALL_SECONDS, buffer)
         if body.err() and body.unwrap_err().code is ResultCode.ANSWER_TOO_LARGE:
             with trio.fail_after(1):
                 await upstream.closed.wait()
