Take a repair for another incarnation as no listing of upstreams

What callers could see: refusals for want of an upstream by an instance that has just started, though the store lists more.

Cause: an instance that got any records from a peer counted as having listed the upstreams. A repair on its way to its earlier incarnation holds only what that one lacked.

Evidence: test_repair_of_earlier_incarnation_is_no_listing failed before.

Why it works: only a repair that leaves no gap after the own position counts. For an instance without a listing that is one with all records, which its first heartbeat asks for.

--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -346,11 +346,14 @@
         repair: UpstreamShare | UpstreamSnapshot,
         advance: Callable[[StorePosition], None],
     ) -> None:
-        """Advance the position, unless the repair leaves a gap after it."""
-        if (
-            self.state.upstreams_listed
-            and repair.after <= self.upstream_position
-        ):
+        """Advance the position, unless the repair leaves a gap after it.
+
+        One that was meant for an earlier incarnation of this instance may
+        contain few of the upstreams.
+        """
+        if repair.after > self.upstream_position:
+            return
+        if self.state.upstreams_listed:
             advance(repair.position)
         if repair.changed:
             self.state.upstreams_listed = True
--- a/cranberryrelay/relay/tests/test_missed_removals.py
+++ b/cranberryrelay/relay/tests/test_missed_removals.py
@@ -4,8 +4,9 @@
 was repaired itself, and tells its peers that nothing was removed before.
 """
 
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple
 from unittest import TestCase
 
 import trio
@@ -13,9 +14,15 @@
 from trio.testing import MockClock
 
 from cranberryrelay.relay import KindListing, KindRecord, RecordChange
+from cranberryrelay.relay._peer_messages import UpstreamSnapshot
 from cranberryrelay.relay._store_replica import StoreReplica
+from cranberryrelay.relay._watchers import POLL_SECONDS
 from cranberryrelay.relay.tests.fixtures import at
-from cranberryrelay.relay.tests.test_group_talk import FakeNetwork, Fleet
+from cranberryrelay.relay.tests.test_group_talk import (
+    FakeNetwork,
+    FakePeerNetwork,
+    Fleet,
+)
 from cranberryrelay.relay.tests.test_store_replica import make_upstream_record
 from cranberryrelay.timing import open_timer_service
 
@@ -88,24 +95,61 @@
 )
 
 
-async def run_case(case: Case) -> dict[str, tuple[str, ...]]:
-    """Return the upstreams that the instances know in the end."""
+@asynccontextmanager
+async def open_fleet(
+    network: FakeNetwork, instances: int
+) -> AsyncIterator[Fleet]:
+    """Run a fleet whose instances have listed two upstreams."""
     async with open_timer_service() as timers, trio.open_nursery() as nursery:
-        fleet = Fleet(FakeNetwork(), nursery)
-        for idx in range(case.instances):
+        fleet = Fleet(network, nursery)
+        for idx in range(instances):
             domain = DOMAINS[idx % len(DOMAINS)]
             await fleet.start(f'front-{domain}-{idx:02d}', timers)
         for protocol in fleet.protocols.values():
             list_upstreams(protocol.store_replica, 10, STAYING, LEAVING)
         await trio.sleep(DISCOVERY_SECONDS)
+        yield fleet
+        nursery.cancel_scope.cancel()
+
+
+async def run_case(case: Case) -> dict[str, tuple[str, ...]]:
+    """Return the upstreams that the instances know in the end."""
+    async with open_fleet(FakeNetwork(), case.instances) as fleet:
         await case.catch_up(fleet)
         await trio.sleep(DRAIN_SECONDS)
-        known = {
+        return {
             name: tuple(protocol.state.fleet.upstreams)
             for name, protocol in fleet.protocols.items()
         }
-        nursery.cancel_scope.cancel()
-    return known
+
+
+class EarlierBuildNetwork(FakeNetwork):
+    """Carries messages to instances that do not know snapshots."""
+
+    def connect(self, name: str) -> FakePeerNetwork:
+        """Return the peer network of one instance."""
+        plain = super().connect(name)
+        return EarlierBuildPeerNetwork(self, plain.inbox)
+
+
+class EarlierBuildPeerNetwork(FakePeerNetwork):
+    """Peer network of one instance."""
+
+    def send(self, peer: str, address: str, sender: str, message: Any) -> bool:
+        """Deliver a message, unless an earlier build would drop it."""
+        if isinstance(message, UpstreamSnapshot):
+            return True
+        return super().send(peer, address, sender, message)
+
+
+async def find_watchers() -> list[str]:
+    """Return who watches the store three seconds after a hub's restart."""
+    async with open_fleet(EarlierBuildNetwork(), 21) as fleet:
+        await restart(fleet)
+        for _ in range(6):
+            fleet.watchers()
+            await trio.sleep(POLL_SECONDS)
+        return fleet.watchers()
 
 
 class MissedRemovalTest(TestCase):
@@ -117,3 +161,11 @@
         clock = MockClock(autojump_threshold=0)
         known = trio.run(run_case, case, clock=clock)
         self.assertEqual(known, dict.fromkeys(known, (STAYING.name,)))
+
+    # Members of a build before snapshots must not count as up to date.
+    def test_members_of_an_earlier_build_watch_the_store(self) -> None:
+        clock = MockClock(autojump_threshold=0)
+        watchers = trio.run(find_watchers, clock=clock)
+        domain = FIRST.rpartition('-')[0]
+        members = [name for name in watchers if name.startswith(domain)]
+        self.assertEqual(len(members), 7)
--- a/cranberryrelay/relay/tests/test_store_replica.py
+++ b/cranberryrelay/relay/tests/test_store_replica.py
@@ -97,6 +97,28 @@
         )
         self.assertEqual(replica.state.fleet.upstreams, {})
 
+    # Guards against an instance that serves with few of the upstreams, as a
+    # peer has sent it what its earlier incarnation lacked.
+    def test_repair_of_earlier_incarnation_is_no_listing(self) -> None:
+        sender = make_replica()
+        sender.apply_upstream_listing(
+            KindListing((make_upstream_record('i-1', 10),), at(10))
+        )
+        added = make_upstream_record('i-2', 20)
+        sender.apply_upstream_changes(RecordChange((added,), (), at(20)))
+        share = sender.make_upstream_repair(at(10))
+        assert isinstance(share, UpstreamShare)
+        restarted = make_replica()
+        restarted.apply_upstream_share(share)
+        self.assertFalse(restarted.state.upstreams_listed)
+        whole = sender.make_upstream_repair(restarted.upstream_position)
+        assert isinstance(whole, UpstreamShare)
+        restarted.apply_upstream_share(whole)
+        self.assertTrue(restarted.state.upstreams_listed)
+        self.assertEqual(
+            sorted(restarted.state.fleet.upstreams), ['i-1', 'i-2']
+        )
+
     def test_draining_state_is_applied_from_peer(self) -> None:
         replica = make_replica()
         replica.apply_upstream_listing(
