--- a/cranberryrelay/platform/_target_store.py
+++ b/cranberryrelay/platform/_target_store.py
@@ -41,8 +41,8 @@
 ANSWER_SECONDS: Final = 2.0
 CONNECTIONS_LIMIT: Final = 8
 
-# Largest answer, in bytes: some times a page of a listing, which the store
-# ends at about 1 MB.
+# Largest answer, in bytes. The store ends a page of a listing at about 1 MB, or
+# with the object that goes beyond it, which takes up to another megabyte.
 ANSWER_BYTES_LIMIT: Final = 8_388_608
 
 # Header of every answer: how often the store was restored from an older copy,
--- a/cranberryrelay/relay/_answer_budget.py
+++ b/cranberryrelay/relay/_answer_budget.py
@@ -1,8 +1,8 @@
 """Limits the memory for answers that are read whole before they are passed on.
 
-Every answer may take a small part of its own. What goes beyond that comes out
-of one budget of the instance, so that upstreams which send bytes without end
-fail their own calls and leave the others their memory.
+Each answer may take a small part of its own. What goes beyond that comes out of
+one budget of the instance: upstreams that send bytes without end use up only
+that, and an answer of a usual size needs none of it.
 """
 
 from collections.abc import Iterator
