Share a budget of memory among the bodies of requests

What callers could see: an instance that runs out of memory ends with all its requests.

Cause: the body of each request was limited to 16 MB, all together were not, and one that stalls is held until the time of its route is over.

Why it works: bodies of requests have a budget as answers have: 64 kB each, and 32 MB for all beyond that, until the request has ended. One that asks for more is refused as not run (3117, 503), which small ones never are. The module of the budget is named after bodies now.

--- a/cranberryrelay/codes/_result_code.py
+++ b/cranberryrelay/codes/_result_code.py
@@ -71,6 +71,7 @@
     FORWARD_UNAVAILABLE = 3114
     FORWARD_REFUSED = 3115
     UPSTREAMS_RESTING = 3116
+    BODIES_TOO_LARGE = 3117
 
     UPSTREAM_FAILED = 4101
     UPSTREAM_TIMEOUT = 4102
@@ -323,6 +324,12 @@
             _NOT_RUN,
             3,
         ),
+        ResultCode.BODIES_TOO_LARGE: CodeEntry(
+            'the bodies of all requests together are over the limit',
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            _NOT_RUN,
+            1,
+        ),
         ResultCode.UPSTREAM_FAILED: CodeEntry(
             'the upstream failed', HTTPStatus.BAD_GATEWAY, _MAY_HAVE_RUN
         ),
--- a/cranberryrelay/relay/_front_app.py
+++ b/cranberryrelay/relay/_front_app.py
@@ -17,6 +17,7 @@
     ResultCode,
     fail,
 )
+from cranberryrelay.relay._body_budget import BodyBuffer
 from cranberryrelay.relay._context import (
     BufferedReply,
     RelayContext,
@@ -45,8 +46,6 @@
 )
 from cranberryrelay.timing import limit_time
 
-BODY_BYTES_HARD_LIMIT: Final = 16_000_000
-
 # Time for the body of a request without a route.
 DEFAULT_BODY_SECONDS: Final = 10.0
 
@@ -160,7 +159,9 @@
         """Read the whole request, run it, and make its answer."""
         request = self.read_request(arrival.scope, self.context.timers.now())
         limit_seconds = self.find_body_seconds(request)
-        body = await read_body(arrival.receive, limit_seconds)
+        budget = self.context.state.request_budget
+        buffer = arrival.stack.enter_context(budget.open_buffer())
+        body = await read_body(arrival.receive, limit_seconds, buffer)
         if isinstance(body, Err):
             failure = body.unwrap_err()
             self.record_ended(
@@ -304,27 +305,25 @@
 
 
 async def read_body(
-    receive: Any, limit_seconds: float
+    receive: Any, limit_seconds: float, buffer: BodyBuffer
 ) -> Result[bytes, Failure]:
     """Read the body of a request, from the arrival of its head.
 
-    Errors: ``BODY_TOO_LARGE``, ``BODY_INCOMPLETE``. Raises ``CallerLeftError``.
+    Errors: ``BODY_TOO_LARGE``, ``BODIES_TOO_LARGE``, ``BODY_INCOMPLETE``.
+    Raises ``CallerLeftError``.
     """
-    parts: list[bytes] = []
-    length = 0
     with limit_time(limit_seconds):
         while True:
             message = await receive()
             if message['type'] != 'http.request':
                 raise CallerLeftError
-            parts.append(message.get('body', b''))
-            length += len(parts[-1])
-            if length > BODY_BYTES_HARD_LIMIT:
-                detail = f'the body exceeds {BODY_BYTES_HARD_LIMIT} bytes'
-                return Err(fail(ResultCode.BODY_TOO_LARGE, detail))
+            excess = buffer.add(message.get('body', b''))
+            if excess is not None:
+                buffer.clear()
+                return Err(excess)
             if not message.get('more_body', False):
-                return Ok(b''.join(parts))
-    detail = f'{length} bytes arrived within {limit_seconds:.3f} s'
+                return Ok(buffer.take())
+    detail = f'{buffer.length} bytes arrived within {limit_seconds:.3f} s'
     return Err(fail(ResultCode.BODY_INCOMPLETE, detail))
 
 
--- a/cranberryrelay/relay/_state.py
+++ b/cranberryrelay/relay/_state.py
@@ -13,8 +13,12 @@
 from cranberryrelay.codes import Failure, ResultCode
 from cranberryrelay.relay._account_buffer import AccountBuffer
 from cranberryrelay.relay._admission_queue import AdmissionQueue
-from cranberryrelay.relay._answer_budget import AnswerBudget
 from cranberryrelay.relay._backlog import Backlog
+from cranberryrelay.relay._body_budget import (
+    ANSWER_LIMITS,
+    REQUEST_LIMITS,
+    BodyBudget,
+)
 from cranberryrelay.relay._catalogue import (
     EngineTraits,
     Role,
@@ -92,7 +96,8 @@
         self.peer_update = make_peer_update()
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.account_buffer = AccountBuffer()
-        self.answer_budget = AnswerBudget()
+        self.answer_budget = BodyBudget(ANSWER_LIMITS)
+        self.request_budget = BodyBudget(REQUEST_LIMITS)
         self.telemetry = RelayTelemetry()
         self.admission_queue = AdmissionQueue()
         self.crash_suspects = CrashSuspects()
--- a/cranberryrelay/relay/_upstream_call.py
+++ b/cranberryrelay/relay/_upstream_call.py
@@ -8,11 +8,7 @@
 from result import Err, Ok, Result
 
 from cranberryrelay.codes import ExecutionState, Failure, ResultCode, fail
-from cranberryrelay.relay._answer_budget import (
-    ANSWER_BYTES_LIMIT,
-    SHARED_BYTES_LIMIT,
-    AnswerBuffer,
-)
+from cranberryrelay.relay._body_budget import BodyBuffer
 from cranberryrelay.relay._requests import (
     Dialect,
     MetadataObserver,
@@ -227,7 +223,7 @@
 
 
 async def read_body(
-    response: UpstreamResponse, limit_seconds: float, buffer: AnswerBuffer
+    response: UpstreamResponse, limit_seconds: float, buffer: BodyBuffer
 ) -> Result[bytes, Failure]:
     """Read the whole body; closes the connection if it is too large.
 
@@ -241,13 +237,15 @@
 
 
 async def _read_into(
-    buffer: AnswerBuffer, response: UpstreamResponse, limit_seconds: float
+    buffer: BodyBuffer, response: UpstreamResponse, limit_seconds: float
 ) -> Result[bytes, Failure]:
     with limit_time(limit_seconds):
         try:
             async for chunk in response.chunks():
-                if not buffer.add(chunk):
-                    return await _fail_too_large(response, buffer)
+                excess = buffer.add(chunk)
+                if excess is not None:
+                    await response.close()
+                    return Err(excess)
         except httpx.HTTPError as error:
             return Err(fail(ResultCode.STREAM_BROKEN, repr(error)))
         return Ok(buffer.take())
@@ -259,19 +257,6 @@
     )
 
 
-async def _fail_too_large(
-    response: UpstreamResponse, buffer: AnswerBuffer
-) -> Err[Failure]:
-    """Close the connection of an answer that is too large."""
-    await response.close()
-    detail = (
-        f'the body exceeds {ANSWER_BYTES_LIMIT} bytes, or the bodies of all '
-        f'answers {SHARED_BYTES_LIMIT}: {buffer.length} bytes were read, '
-        f'{buffer.budget.shared_bytes} are taken'
-    )
-    return Err(fail(ResultCode.ANSWER_TOO_LARGE, detail))
-
-
 async def _close(http_response: httpx.Response) -> None:
     with limit_time(CLOSE_TIMEOUT_SECONDS) as scope:
         scope.shield = True
--- a/cranberryrelay/relay/tests/test_faulty_answers.py
+++ b/cranberryrelay/relay/tests/test_faulty_answers.py
@@ -25,7 +25,7 @@
     Upstream,
     UpstreamCall,
 )
-from cranberryrelay.relay._answer_budget import AnswerBudget
+from cranberryrelay.relay._body_budget import ANSWER_LIMITS, BodyBudget
 from cranberryrelay.relay._context import (
     AdmittedRequest,
     BufferedReply,
@@ -207,7 +207,7 @@
         )
         if isinstance(opened, Err):
             return opened.unwrap_err()
-        buffer = stack.enter_context(AnswerBudget().open_buffer())
+        buffer = stack.enter_context(BodyBudget(ANSWER_LIMITS).open_buffer())
         body = await read_body(opened.unwrap(), CALL_SECONDS, buffer)
         return body.err()
 
--- a/cranberryrelay/relay/tests/test_unframed_answers.py
+++ b/cranberryrelay/relay/tests/test_unframed_answers.py
@@ -17,10 +17,7 @@
 from cranberryrelay.codes import ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import UpstreamCall
-from cranberryrelay.relay._answer_budget import (
-    ANSWER_BYTES_LIMIT,
-    AnswerBudget,
-)
+from cranberryrelay.relay._body_budget import ANSWER_LIMITS, BodyBudget
 from cranberryrelay.relay._events import EVENT_BYTES_LIMIT, EventSplitter
 from cranberryrelay.relay._upstream_call import (
     make_upstream_client,
@@ -34,7 +31,7 @@
 CALL_SECONDS = 5.0
 
 # Bytes that an endless upstream may get rid of, socket buffers included.
-SENT_LIMIT = 3 * ANSWER_BYTES_LIMIT
+SENT_LIMIT = 3 * ANSWER_LIMITS.body_bytes
 
 
 def answer_without_length() -> Iterator[bytes]:
@@ -135,7 +132,7 @@
         if isinstance(opened, Err):
             nursery.cancel_scope.cancel()
             return opened.unwrap_err().code
-        buffer = stack.enter_context(AnswerBudget().open_buffer())
+        buffer = stack.enter_context(BodyBudget(ANSWER_LIMITS).open_buffer())
         body = await read_body(opened.unwrap(), CALL_SECONDS, buffer)
         if body.err() and body.unwrap_err().code is ResultCode.ANSWER_TOO_LARGE:
             with trio.fail_after(1):
--- a/cranberryrelay/relay/tests/test_upstream_call.py
+++ b/cranberryrelay/relay/tests/test_upstream_call.py
@@ -17,7 +17,7 @@
 from cranberryrelay.codes import ExecutionState, ResultCode
 from cranberryrelay.platform import TargetDialect
 from cranberryrelay.relay import UpstreamCall
-from cranberryrelay.relay._answer_budget import AnswerBudget
+from cranberryrelay.relay._body_budget import ANSWER_LIMITS, BodyBudget
 from cranberryrelay.relay._upstream_call import (
     UpstreamResponse,
     make_upstream_client,
@@ -130,7 +130,7 @@
             response = httpx.Response(200, content=stream_endlessly())
             metadata = TargetDialect().parse_response(200, [])
             opened = UpstreamResponse(200, metadata, response)
-            with AnswerBudget().open_buffer() as buffer:
+            with BodyBudget(ANSWER_LIMITS).open_buffer() as buffer:
                 body = await read_body(opened, limit_seconds, buffer)
             code = body.unwrap_err().code
             self.assertEqual(code, ResultCode.UPSTREAM_TIMEOUT)
