--- a/cranberryrelay/wire/_limited_answers.py
+++ b/cranberryrelay/wire/_limited_answers.py
@@ -55,8 +55,10 @@
 
 
 async def _read_limited(response: httpx.Response, limit_bytes: int) -> bytes:
+    stream = response.stream
+    assert isinstance(stream, httpx.AsyncByteStream)
     body = bytearray()
-    async for part in response.aiter_raw():
+    async for part in stream:
         body += part
         if len(body) > limit_bytes:
             raise AnswerTooLargeError(f'the body exceeds {limit_bytes} bytes')
