Name what a jump does to the history of removals

RemovalHistory.restart, which restarts nothing, is record_gap_before: it records that removals before a position may be missing. Found on a second reading; behaviour is unchanged. Checks clean; 130 tests of the replica, of missed removals, listings, restores and odd records passed.

--- a/cranberryrelay/relay/_removal_history.py
+++ b/cranberryrelay/relay/_removal_history.py
@@ -44,7 +44,7 @@
         self.removals.append(removal)
         return discarded
 
-    def restart(self, position: StorePosition) -> None:
+    def record_gap_before(self, position: StorePosition) -> None:
         """Record that removals before a position may be missing."""
         self.complete_after = max(self.complete_after, position)
 
@@ -62,7 +62,7 @@
         if len(self.removals) < REMOVALS_LIMIT:
             return None
         oldest = self.removals.popleft()
-        self.restart(oldest.position)
+        self.record_gap_before(oldest.position)
         if self.positions.get(oldest.name) != oldest.position:
             return None
         self.positions.pop(oldest.name)
--- a/cranberryrelay/relay/_store_replica.py
+++ b/cranberryrelay/relay/_store_replica.py
@@ -229,7 +229,7 @@
         peer may know them.
         """
         if position > self.upstream_position:
-            self.removals.restart(position)
+            self.removals.record_gap_before(position)
             self.upstream_position = position
 
     def known_era(self) -> int:
